Read the configuration again on SIGHUP and follow discovery to its new address

It is now caught before anything else; discovery is asked for the whole list at the new address at once, and notices go there. The file's discovery now goes before LB_DISCOVERY, which can't follow a reload.

--- a/cmd/cleathold/main.go
+++ b/cmd/cleathold/main.go
@@ -28,11 +28,7 @@
 }
 
 func (s *serveCmd) Run(log *slog.Logger) error {
-	c, err := lifecycle.Load(s.Config, os.Getenv)
-	if err != nil {
-		return err
-	}
-	return lifecycle.Serve(c, log)
+	return lifecycle.Serve(func() (lifecycle.Config, error) { return lifecycle.Load(s.Config, os.Getenv) }, log)
 }
 
 type checkCmd struct {
--- a/internal/lifecycle/config.go
+++ b/internal/lifecycle/config.go
@@ -39,8 +39,10 @@
 	defaultDiskMB  = 3
 )
 
-// Load reads a configuration file; the environment's LB_NAME, LB_LISTEN,
-// LB_DISCOVERY and LB_STATE go before what stands in it.
+// Load reads a configuration file; the environment's LB_NAME, LB_LISTEN and
+// LB_STATE go before what stands in it. LB_DISCOVERY only fills its place where
+// the file names none: the file can be replaced under a process that runs, its
+// environment can't.
 func Load(path string, env func(string) string) (Config, error) {
 	text, err := os.ReadFile(path)
 	if err != nil {
@@ -84,8 +86,12 @@
 		{&c.Name, "LB_NAME", "name"}, {&c.Listen, "LB_LISTEN", "listen"},
 		{&c.Discovery, "LB_DISCOVERY", "discovery"}, {&c.State, "LB_STATE", "state"},
 	} {
-		if *f.to = env(f.name); *f.to == "" {
-			*f.to = doc.Get(f.in).String()
+		first, second := env(f.name), doc.Get(f.in).String()
+		if f.to == &c.Discovery {
+			first, second = second, first
+		}
+		if *f.to = first; first == "" {
+			*f.to = second
 		}
 		if *f.to == "" && f.in != "name" {
 			return fmt.Errorf("configuration: neither %q nor %s given", f.in, f.name)
--- a/internal/lifecycle/serve.go
+++ b/internal/lifecycle/serve.go
@@ -7,6 +7,7 @@
 	"math"
 	"os"
 	"os/signal"
+	"reflect"
 	"runtime"
 	"runtime/debug"
 	"sync"
@@ -31,16 +32,27 @@
 	spareSockets = 64  // for the journal, discovery, the platform, probes and dials
 )
 
-// Serve runs the sender until SIGTERM or SIGINT and its orderly end.
-func Serve(c Config, log *slog.Logger) error {
+// A Source reads the configuration, as it is now.
+type Source func() (Config, error)
+
+// Serve runs the sender until SIGTERM or SIGINT and its orderly end. On SIGHUP
+// it reads its configuration again. That signal is caught before anything else
+// is done and for good: nothing it meets may end the process.
+func Serve(load Source, log *slog.Logger) error {
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
 	stop := make(chan os.Signal, 1)
 	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
 	defer signal.Stop(stop)
-	return Run(c, log, stop)
+	return Run(load, log, stop, reload)
 }
 
-// Run is Serve with the signal as a parameter.
-func Run(c Config, log *slog.Logger, stop <-chan os.Signal) error {
+// Run is Serve with the signals as parameters.
+func Run(load Source, log *slog.Logger, stop, reload <-chan os.Signal) error {
+	c, err := load()
+	if err != nil {
+		return err
+	}
 	bound(c.Limits)
 	loop, err := state.NewLoop(state.Setup{
 		Settings: c.Settings, Known: c.Known, Dir: c.State, DiskBytes: c.Limits.DiskBytes, Log: log,
@@ -64,7 +76,14 @@
 	}
 	wg.Go(listener.Serve)
 	log.Info("serving", "name", c.Name, "listen", listener.Addr().String())
-	<-stop
+	for serving := true; serving; {
+		select {
+		case <-reload:
+			c = renew(c, load, discovery, notices, log)
+		case <-stop:
+			serving = false
+		}
+	}
 	wind(loop, listener, time.Now())
 	cancel()
 	wg.Wait()
@@ -72,6 +91,35 @@
 	return nil
 }
 
+// A mover can turn to another address.
+type mover interface{ Move(addr string) }
+
+// renew reads the configuration again and returns the one in force. The address
+// of discovery and the runtime's limits are taken over as the sender runs. What
+// else has changed waits for the next start: the controller, the journal and the
+// listener are built on it. An unreadable file changes nothing.
+func renew(old Config, load Source, discovery, notices mover, log *slog.Logger) Config {
+	c, err := load()
+	if err != nil {
+		log.Error("configuration not read again, the old one holds", "err", err)
+		return old
+	}
+	if c.Discovery != old.Discovery {
+		discovery.Move(c.Discovery)
+		notices.Move(c.Discovery)
+	}
+	bound(c.Limits)
+	now := old
+	now.Discovery = c.Discovery
+	now.Limits.Cores, now.Limits.MemoryMB = c.Limits.Cores, c.Limits.MemoryMB
+	c.Known = old.Known // only the start of a sender asks for it
+	if c.Settings.Seed = old.Settings.Seed; !reflect.DeepEqual(c, now) {
+		log.Warn("configuration read again: some of what has changed waits for the next start")
+	}
+	log.Info("configuration read again", "discovery", now.Discovery)
+	return now
+}
+
 // wind brings a sender to its end, counted from the signal.
 func wind(loop *state.Loop, listener *protocol.Listener, told time.Time) {
 	listener.Leave()
--- a/internal/protocol/discovery.go
+++ b/internal/protocol/discovery.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"net/http"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/tidwall/gjson"
@@ -29,11 +30,14 @@
 // Discovery asks for the target group, on one goroutine.
 type Discovery struct {
 	post  Poster
-	addr  string
 	names Names
 	wait  time.Duration
 	log   *slog.Logger
 	wants chan want
+
+	mu      sync.Mutex
+	addr    string
+	callOff context.CancelFunc // ends the question under way
 }
 
 // A want is what the controller asks for.
@@ -65,17 +69,45 @@
 	}
 }
 
+// Move turns to another address, where the whole list is asked for first: what
+// is under way at the old one is called off, as it may stay silent for good.
+func (d *Discovery) Move(addr string) {
+	d.mu.Lock()
+	d.addr = addr
+	if d.callOff != nil {
+		d.callOff()
+	}
+	d.mu.Unlock()
+	d.wants <- want{watch: true}
+}
+
+// begin returns where to ask, and a context that a move ends.
+func (d *Discovery) begin(ctx context.Context) (context.Context, context.CancelFunc, string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	ctx, d.callOff = context.WithCancel(ctx)
+	return ctx, d.callOff, d.addr
+}
+
 // Run asks as it is told until the context ends. A watch goes on with the next
 // call right after each answer, until one fails: when to ask then is the
 // controller's to say.
 func (d *Discovery) Run(ctx context.Context) {
-	link := &dialog{addr: d.addr}
+	link := &dialog{}
 	defer link.hangUp()
 	var now want
 	for d.next(ctx, &now) {
+		asking, end, addr := d.begin(ctx)
+		link.turn(addr)
 		asked := time.Now()
-		news, err := d.get(ctx, link, now)
+		news, err := d.get(asking, link, now)
+		moved := asking.Err() != nil
+		end()
 		now.fetch = false
+		if err != nil && moved {
+			now.watch = false // what to ask at the new address is among the wants
+			continue
+		}
 		if err != nil {
 			d.log.Info("discovery failed", "err", err)
 			now.watch = false
--- a/internal/protocol/link.go
+++ b/internal/protocol/link.go
@@ -132,6 +132,14 @@
 	return r.StatusCode, answer, nil
 }
 
+// turn goes on with another address, if it is one.
+func (d *dialog) turn(addr string) {
+	if d.addr != addr {
+		d.hangUp()
+		d.addr = addr
+	}
+}
+
 func (d *dialog) hangUp() {
 	if d.link != nil {
 		d.link.Close()
--- a/internal/protocol/notices.go
+++ b/internal/protocol/notices.go
@@ -24,11 +24,11 @@
 // is acknowledged. The table of messages bounds how many wait.
 type Notices struct {
 	post Poster
-	addr string
 	log  *slog.Logger
 	more chan struct{}
 
 	mu   sync.Mutex
+	addr string
 	wait []state.Notice
 }
 
@@ -48,11 +48,18 @@
 	}
 }
 
-// head returns the notices that go next.
-func (n *Notices) head() []state.Notice {
+// Move sends notices to another address from now on.
+func (n *Notices) Move(addr string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.addr = addr
+}
+
+// head returns the notices that go next, and where to.
+func (n *Notices) head() ([]state.Notice, string) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.wait[:min(len(n.wait), noticeMost)]
+	return n.wait[:min(len(n.wait), noticeMost)], n.addr
 }
 
 // done takes the first notices off the queue and has them forgotten.
@@ -69,11 +76,12 @@
 
 // Run delivers notices until the context ends.
 func (n *Notices) Run(ctx context.Context) {
-	link := &dialog{addr: n.addr}
+	link := &dialog{}
 	defer link.hangUp()
 	wait, most := pauseFirst, noticeMost
 	for ctx.Err() == nil {
-		batch := n.head()
+		batch, addr := n.head()
+		link.turn(addr)
 		batch = batch[:min(len(batch), most)]
 		if len(batch) == 0 {
 			select {
