--- a/control/control.go
+++ b/control/control.go
@@ -165,6 +165,9 @@
 	case o.Finished:
 		c.close(m)
 	case m.over:
+	case o.Result == Rejected: // it would be rejected again
+		c.act.Fail(m.ID)
+		c.close(m)
 	case c.mayRetry(m):
 		m.dest.fresh = append([]*message{m}, m.dest.fresh...)
 	default:
@@ -192,7 +195,7 @@
 	if o.Result == Cancelled {
 		o.Result = TimedOut // only overdue calls are called off
 	}
-	if o.Result == Moot {
+	if o.Result == Moot || o.Result == Rejected { // neither tells of the destination
 		return
 	}
 	if o.Wait > 0 { // told with any answer, it binds alike
--- a/control/types.go
+++ b/control/types.go
@@ -150,7 +150,7 @@
 // Result says how an attempt or a probe ended.
 type Result uint8
 
-// The results. Only Full, NoConnection and Moot prove that the attempt never ran.
+// The results. Only Full, NoConnection, Moot and Rejected prove that the attempt never ran.
 const (
 	Unknown      Result = iota // anything else: it may have run
 	Served                     // delivered
@@ -161,11 +161,12 @@
 	Broken                     // the connection broke
 	Cancelled                  // called off
 	Moot                       // not sent
+	Rejected                   // the destination can't use this message
 )
 
 // MayHaveRun reports whether an attempt with this result may have taken effect.
 func (r Result) MayHaveRun() bool {
-	return r != Full && r != NoConnection && r != Moot
+	return r != Full && r != NoConnection && r != Moot && r != Rejected
 }
 
 // Outcome tells how an attempt ended.
--- a/internal/protocol/link.go
+++ b/internal/protocol/link.go
@@ -11,6 +11,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"syscall"
 	"time"
 )
@@ -65,18 +66,70 @@
 	return err != nil || !quiet || l.in.Buffered() > 0
 }
 
-// answer reads a response and its body.
-func (l *link) answer(method string, most int64) (*http.Response, []byte, error) {
+// A reply is what came back on a connection, as far as it could be read.
+type reply struct {
+	first  int // the status that the first line tells, even if nothing else can be read
+	status int // of an answer whose head can be read
+	header http.Header
+	body   []byte
+	last   bool // the connection is of no use any more
+}
+
+// answer reads a response and its body. Once its first byte is in, the rest
+// must follow by a time that the function tells from the first line: a peer may
+// leave off in the middle and keep the connection open.
+func (l *link) answer(method string, most int64, by func(first int) time.Time) (reply, error) {
 	l.limit.N = maxHead + most
-	r, err := http.ReadResponse(l.in, &http.Request{Method: method})
-	for err == nil && r.StatusCode < http.StatusOK { // news on the way to the answer
-		r, err = http.ReadResponse(l.in, &http.Request{Method: method})
+	until := func(first int) {
+		if by != nil {
+			l.SetReadDeadline(by(first))
+		}
 	}
-	if err != nil {
-		return nil, nil, err
+	for {
+		until(0)
+		first := l.firstLine()
+		until(first)
+		a := reply{first: first, last: true}
+		r, err := http.ReadResponse(l.in, &http.Request{Method: method})
+		if err != nil {
+			return a, err
+		}
+		if r.StatusCode < http.StatusOK {
+			continue // news on the way to the answer
+		}
+		a.status, a.header = r.StatusCode, r.Header
+		a.body, err = readBody(r.Body, most)
+		a.last = r.Close || err != nil
+		return a, err
+	}
+}
+
+// firstLine reads the status off the first line without taking it; 0 = it has none.
+func (l *link) firstLine() int {
+	for n := 1; n <= l.in.Size(); n = l.in.Buffered() + 1 {
+		if _, err := l.in.Peek(n); err != nil {
+			return 0
+		}
+		seen, _ := l.in.Peek(l.in.Buffered())
+		if line, _, whole := bytes.Cut(seen, []byte("\n")); whole {
+			return statusOf(string(line))
+		}
+	}
+	return 0
+}
+
+// statusOf reads a status line.
+func statusOf(line string) int {
+	version, rest, _ := strings.Cut(strings.TrimSuffix(line, "\r"), " ")
+	code, _, _ := strings.Cut(rest, " ")
+	if !strings.HasPrefix(version, "HTTP/1.") || len(code) != 3 {
+		return 0
+	}
+	n, err := strconv.Atoi(code)
+	if err != nil || n < 100 {
+		return 0
 	}
-	body, err := readBody(r.Body, most)
-	return r, body, err
+	return n
 }
 
 // readBody reads a body that may hold so much at most.
@@ -121,15 +174,15 @@
 		d.hangUp()
 		return 0, nil, err
 	}
-	r, answer, err := l.answer(method, maxList)
+	r, err := l.answer(method, maxList, nil)
 	if err != nil {
 		d.hangUp()
 		return 0, nil, err
 	}
-	if r.Close {
+	if r.last {
 		d.hangUp()
 	}
-	return r.StatusCode, answer, nil
+	return r.status, r.body, nil
 }
 
 // turn goes on with another address, if it is one.
--- a/internal/protocol/listener.go
+++ b/internal/protocol/listener.go
@@ -257,6 +257,10 @@
 		err := l.write(k, http.StatusAccepted, 0, "", last)
 		l.to.Post(state.Answered{ID: m.ID, OK: err == nil})
 		return err == nil && !last
+	case v.Wrong == state.NoDestination:
+		return l.reply(k, http.StatusBadRequest, 0, "unknown destination", last)
+	case v.Wrong == state.IDTaken:
+		return l.reply(k, http.StatusConflict, 0, "X-Request-Id in use", last)
 	case v.Fatal:
 		return l.reply(k, http.StatusInternalServerError, 0, "failed", last)
 	}
--- a/internal/protocol/relay.go
+++ b/internal/protocol/relay.go
@@ -38,13 +38,38 @@
 	}
 }
 
+// Once an answer has begun its rest must follow within these. Of a 200 to a
+// single message nothing but its first line matters.
+const (
+	restSpan = 300 * time.Millisecond
+	tailSpan = 50 * time.Millisecond
+)
+
+// errSpoilt tells of an answer that came and can't be read.
+var errSpoilt = errors.New("answer can't be read")
+
 // relay reads the answer to a call that was written.
-func (f *flight) relay(l *link) (*http.Response, []byte, error) {
+func (f *flight) relay(l *link) (reply, error) {
 	l.limit.N = maxHead
 	if err := f.await(l); err != nil {
-		return nil, nil, err
+		return reply{last: true}, err
+	}
+	began := time.Now()
+	r, err := l.answer(http.MethodPost, state.MaxBody, func(first int) time.Time {
+		if f.alone(first) {
+			return began.Add(tailSpan)
+		}
+		return began.Add(restSpan)
+	})
+	if err != nil && f.ctx.Err() == nil {
+		err = errSpoilt
 	}
-	return l.answer(http.MethodPost, state.MaxBody)
+	return r, err
+}
+
+// alone tells whether a first line is all there is to know of a call.
+func (f *flight) alone(first int) bool {
+	return first == http.StatusOK && len(f.call.Forwards) == 1
 }
 
 // await waits for the first byte of the answer. Forwards whose own deadline
@@ -87,6 +112,8 @@
 func (f *flight) lost(err error) {
 	last, _ := f.ctx.Deadline()
 	switch {
+	case errors.Is(err, errSpoilt):
+		f.all(control.Errored) // the target is there, and what it did is not known
 	case f.ctx.Err() == nil && !errors.Is(err, os.ErrDeadlineExceeded):
 		f.all(control.Broken)
 	case time.Now().Before(last):
@@ -105,33 +132,44 @@
 		return control.Errored
 	case http.StatusTooManyRequests, http.StatusServiceUnavailable:
 		return control.Full
-	case http.StatusGatewayTimeout, http.StatusGone, http.StatusBadRequest, http.StatusRequestEntityTooLarge:
+	case http.StatusGatewayTimeout, http.StatusGone:
 		return control.Moot
+	case http.StatusBadRequest, http.StatusRequestEntityTooLarge:
+		return control.Rejected
 	}
 	return control.Unknown
 }
 
 // answered ends the forwards of a call by its answer. The first line of a 200
 // is enough for a single message; all else must have come whole.
-func (f *flight) answered(r *http.Response, body []byte, err error) {
-	if err != nil && (r == nil || r.StatusCode != http.StatusOK || len(f.call.Forwards) > 1) {
+func (f *flight) answered(r reply, err error) {
+	if f.alone(r.first) {
+		r.status, err = http.StatusOK, nil
+	}
+	if err != nil {
 		f.lost(err)
 		return
 	}
-	status, h := r.StatusCode, r.Header
+	status, h := r.status, r.header
 	e := state.End{Result: resultOf(status), Finished: status == http.StatusOK || status == http.StatusGone}
 	e.Wait, _ = parseSeconds(h.Get("Retry-After"))
 	if h.Get("X-Over-Slots") == "1" {
 		e.Result, e.NoSlot = control.Moot, true
 	}
-	if status == http.StatusBadRequest || status == http.StatusRequestEntityTooLarge {
-		f.log.Error("target can't read a call", "target", f.call.Target.ID, "status", status)
+	if e.Result == control.Rejected {
+		f.log.Error("target rejects a call", "target", f.call.Target.ID, "status", status, "messages", len(f.call.Forwards))
 	}
 	if status != http.StatusOK || len(f.call.Forwards) == 1 {
 		f.end(func(*state.Forward) (state.End, bool) { return e, true })
 		return
 	}
-	said := parseEnds(body)
+	said := parseEnds(r.body)
+	for _, w := range f.call.Forwards {
+		if _, named := said[w.Message.ID]; !named {
+			f.lost(errSpoilt)
+			return
+		}
+	}
 	f.end(func(w *state.Forward) (state.End, bool) {
 		each := said[w.Message.ID]
 		each.Wait = e.Wait
@@ -139,15 +177,21 @@
 	})
 }
 
-// parseEnds reads the lines with each message's end. One that is not named, or
-// whose word is not known, may have run.
+// parseEnds reads the lines with each message's end. Where one can't be read
+// or names a message twice, none of the others is to be believed.
 func parseEnds(body []byte) map[string]state.End {
 	ends := map[string]state.End{}
 	for line := range bytes.Lines(body) {
 		w := strings.Fields(string(line))
-		if len(w) != 2 {
+		if len(w) == 0 {
 			continue
 		}
+		if len(w) != 2 {
+			return nil
+		}
+		if _, twice := ends[w[0]]; twice {
+			return nil
+		}
 		switch w[1] {
 		case "delivered":
 			ends[w[0]] = state.End{Result: control.Served, Finished: true}
@@ -159,6 +203,8 @@
 			ends[w[0]] = state.End{Result: control.Moot, Finished: true}
 		case "spent":
 			ends[w[0]] = state.End{Result: control.Moot}
+		default:
+			return nil
 		}
 	}
 	return ends
--- a/internal/protocol/send.go
+++ b/internal/protocol/send.go
@@ -182,15 +182,16 @@
 		f.all(control.NoConnection)
 		return
 	}
-	r, answer, err := f.relay(l)
+	r, err := f.relay(l)
 	// The connection first, then the news: with the news comes the next call to
 	// this target, which should find the connection idle and the slot free.
-	if stop() && err == nil && !r.Close {
+	l.SetReadDeadline(time.Time{})
+	if stop() && err == nil && !r.last {
 		f.pool.put(t.ID, l)
 	} else {
 		l.Close()
 	}
-	f.answered(r, answer, err)
+	f.answered(r, err)
 }
 
 // encode writes a single call, or one of several messages as frames.
--- a/internal/state/admit.go
+++ b/internal/state/admit.go
@@ -30,9 +30,16 @@
 
 // admit lets a message in or gives a fixed response.
 func (l *Loop) admit(h Handed) {
-	if known := l.table.ids[h.Message.ID]; known != nil {
-		// The same hand-in twice: a client's repeat of a request that it thinks was never read.
-		h.Verdict <- Verdict{Taken: true}
+	// Every hand-in has an id of its own. A second one under an id that is in
+	// use must neither disturb the first nor be sent on in its place.
+	if l.table.taken(h.Message.ID, l.now) {
+		h.Verdict <- Verdict{Wrong: IDTaken}
+		return
+	}
+	// Messages for nowhere would fill the table until their time is up, and
+	// leave the controller a destination each.
+	if !l.group.serves(h.Message.Destination) {
+		h.Verdict <- Verdict{Wrong: NoDestination}
 		return
 	}
 	if l.stopped {
--- a/internal/state/book.go
+++ b/internal/state/book.go
@@ -27,6 +27,14 @@
 			}
 		}
 		e := l.table.entries[f.num]
+		if end.Result == control.Rejected && ev.Call.size > 1 {
+			// One of them is to blame. Each goes by itself from now on, so that
+			// the others arrive and the one is found.
+			end.Result = control.Moot
+			if e != nil {
+				e.alone = true
+			}
+		}
 		if e != nil && !end.Result.MayHaveRun() {
 			e.spare(f.attempt)
 			l.journal.add(sparedRecord(e.num, f.attempt))
@@ -45,6 +53,7 @@
 func (l *Loop) over(e *entry) {
 	if l.table.entries[e.num] == e {
 		l.table.drop(e)
+		l.table.retire(e.ID, l.now)
 		l.journal.add(overRecord(e.num))
 	}
 }
--- a/internal/state/route.go
+++ b/internal/state/route.go
@@ -37,9 +37,11 @@
 	room := len(e.ID) + len(e.Key) + len(e.Body) + FrameRoom
 	c := l.round[to]
 	// A body holds so much: what doesn't fit one call takes another.
-	if c == nil || len(c.Forwards) >= l.batch(t.Kind) || c.room+room > MaxBody {
+	if c == nil || e.alone || len(c.Forwards) >= l.batch(t.Kind) || c.room+room > MaxBody {
 		c = &Call{Target: *t, Connect: l.connectBy()}
-		l.round[to] = c
+		if !e.alone {
+			l.round[to] = c
+		}
 		l.calls = append(l.calls, c)
 	}
 	c.Forwards = append(c.Forwards, f)
@@ -92,7 +94,7 @@
 		}
 		l.backlog = append(l.backlog, Ended{c, []End{{Forward: f, Result: control.Moot, Finished: l.table.entries[f.num] == nil}}})
 	}
-	if c.Forwards = live; len(live) > 0 {
+	if c.Forwards, c.size = live, len(live); len(live) > 0 {
 		c.carried = true
 		l.flying++
 		l.carrier.Carry(c)
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -58,6 +58,7 @@
 	Forwards []*Forward
 	Connect  time.Time // by when a connection must be up
 	room     int       // what the forwards take in one body
+	size     int       // forwards that left with it
 	unsent   int       // forwards whose client has not been answered yet
 	launched bool
 	carried  bool
@@ -79,8 +80,18 @@
 	Taken bool
 	Again time.Duration // a fixed response: when to come back; 0 = not told
 	Fatal bool          // a fixed response after which coming back is of no use
+	Wrong Wrong         // a fixed response to what can't be taken on
 }
 
+// Wrong says what keeps a message that reads well from being taken on.
+type Wrong uint8
+
+const (
+	Nothing       Wrong = iota
+	NoDestination       // no target of its destination was ever listed
+	IDTaken             // another message has or had this id
+)
+
 // Notice ends a message that was taken on and is not delivered.
 type Notice struct {
 	Num      control.MessageID
--- a/internal/state/table.go
+++ b/internal/state/table.go
@@ -16,6 +16,7 @@
 	verdict  chan<- Verdict
 	answered bool    // its client has heard that it is taken on
 	call     *Call   // held back until then
+	alone    bool    // goes in a call by itself: a target could not use one that it shared
 	notice   *Notice // ended, and the platform is owed this
 	cost     int64   // what it may take in the journal
 }
@@ -45,12 +46,44 @@
 	entries map[control.MessageID]*entry
 	ids     map[string]*entry
 	next    control.MessageID
-	open    int   // not ended
-	live    int64 // journal bytes of all
+	open    int             // not ended
+	live    int64           // journal bytes of all
+	past    map[string]bool // ids of messages that are over...
+	expiry  []pastID        // ...until a time, in the order of it
+}
+
+// pastID is an id that is not taken again before a time.
+type pastID struct {
+	id    string
+	until time.Time
+}
+
+// pastSpan is how long the id of a message that is over stays taken, and
+// pastMost how many such ids are kept at most.
+const (
+	pastSpan = 20 * time.Second
+	pastMost = 4096
+)
+
+// taken tells whether an id is in use, or was a moment ago.
+func (t *table) taken(id string, now time.Time) bool {
+	for len(t.expiry) > 0 && (len(t.expiry) > pastMost || !now.Before(t.expiry[0].until)) {
+		delete(t.past, t.expiry[0].id)
+		t.expiry = t.expiry[1:]
+	}
+	return t.ids[id] != nil || t.past[id]
+}
+
+// retire keeps the id of a message that was taken on and is over.
+func (t *table) retire(id string, now time.Time) {
+	if !t.past[id] {
+		t.past[id] = true
+		t.expiry = append(t.expiry, pastID{id, now.Add(pastSpan)})
+	}
 }
 
 func newTable() *table {
-	return &table{entries: map[control.MessageID]*entry{}, ids: map[string]*entry{}, next: 1}
+	return &table{entries: map[control.MessageID]*entry{}, ids: map[string]*entry{}, past: map[string]bool{}, next: 1}
 }
 
 // add enters a message that is open.
@@ -101,10 +134,17 @@
 	byNum   map[control.EndpointID]*Target
 	version int64
 	next    control.EndpointID
+	served  map[int]bool // destinations that have or had a target
 }
 
 func newGroup() *group {
-	return &group{byID: map[string]*Target{}, byNum: map[control.EndpointID]*Target{}, next: 1}
+	return &group{byID: map[string]*Target{}, byNum: map[control.EndpointID]*Target{}, served: map[int]bool{}, next: 1}
+}
+
+// serves tells whether a destination has or had a target; as long as none is
+// known at all, any may have one.
+func (g *group) serves(destination int) bool {
+	return len(g.served) == 0 || g.served[destination]
 }
 
 // take enters news and returns its lines as the controller wants them. A
@@ -126,6 +166,7 @@
 			g.next++
 			g.byID[t.ID], g.byNum[known.Endpoint.ID] = known, known
 			known.Destination = t.Destination
+			g.served[t.Destination] = true
 		}
 		if t.State != control.Removed {
 			known.Addr = t.Addr
