Give silent connections 2 s and make them give way before others

Cause: at the limit of connections each new one waited 20 ms for one idle one to end (listener.go, Serve and evict), so that hundreds that connect and say nothing kept others out; half a request was waited for 10 s, and a third of the descriptors was not free for clients (serve.go, shareSockets). Now a first request must be in 2 s after connecting, and connections that never had one are closed at once for new ones, if nothing lies unread on them. TestSilentPeers fails with the old listener.

--- a/internal/lifecycle/serve.go
+++ b/internal/lifecycle/serve.go
@@ -147,8 +147,9 @@
 }
 
 // shareSockets parts the descriptors between clients' connections and idle
-// ones to targets, besides those of calls that are out.
+// ones to targets, besides those of calls that are out. Clients may hold a
+// third of all for requests, and some connect that have none.
 func shareSockets(c Config) (clients, idle int) {
-	left := max(c.Limits.Sockets-spareSockets-2*c.Settings.Slots, 8)
-	return left / 2, left / 2
+	left := max(c.Limits.Sockets-spareSockets-c.Settings.Slots, 12)
+	return left * 2 / 3, left / 3
 }
--- a/internal/protocol/link.go
+++ b/internal/protocol/link.go
@@ -51,19 +51,22 @@
 
 // stale tells whether the other side has closed an idle connection, or sent
 // what nobody asked for: a request written to it would be lost.
-func (l *link) stale() bool {
+func (l *link) stale() bool { return !l.quiet() || l.in.Buffered() > 0 }
+
+// quiet tells whether the connection is open and nothing has come on it. It
+// takes no lock that a reader holds, and so may be asked while one waits.
+func (l *link) quiet() bool {
 	raw, err := l.Conn.(syscall.Conn).SyscallConn()
 	if err != nil {
-		return true
+		return false
 	}
 	quiet := false
-	err = raw.Read(func(fd uintptr) bool {
+	err = raw.Control(func(fd uintptr) {
 		var b [1]byte
 		_, _, e := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 		quiet = e == syscall.EAGAIN
-		return true
 	})
-	return err != nil || !quiet || l.in.Buffered() > 0
+	return err == nil && quiet
 }
 
 // A reply is what came back on a connection, as far as it could be read.
--- a/internal/protocol/listener.go
+++ b/internal/protocol/listener.go
@@ -18,11 +18,11 @@
 )
 
 const (
-	idleSpan   = 60 * time.Second       // a client's connection may lie idle so long
-	readSpan   = 10 * time.Second       // a request must be read within this
+	idleSpan   = 10 * time.Second       // a client's connection may lie idle so long after a request
+	readSpan   = 2 * time.Second        // a request must be read within this; the first one from the connection on
 	answerSpan = 300 * time.Millisecond // ... and answered within this, as clients wait 400 ms
 	lastLook   = 20 * time.Millisecond  // one that is to end: a request on its way still gets its answer
-	shedSpan   = time.Second            // what is left of a request too long is read for so long
+	shedSpan   = 500 * time.Millisecond // what is left of a request too long is read for so long
 	busyPause  = time.Second            // when to come again if the loop is not to be had
 )
 
@@ -52,9 +52,11 @@
 // A client is one client's connection.
 type client struct {
 	*link
-	idle   bool // no request is being read or answered; under the listener's mutex
-	since  time.Time
+	// All under the listener's mutex.
+	idle   bool // no request is being read or answered
+	gone   bool // looked at for eviction since it is idle
 	served bool // it has had a request
+	since  time.Time
 }
 
 // Listen opens the listening socket, for so many connections at most.
@@ -75,7 +77,7 @@
 func (l *Listener) Addr() net.Addr { return l.sock.Addr() }
 
 // Serve accepts connections until Close. At their limit the next one waits
-// until a place is free, and the connection that lies idle gives way.
+// until a place is free, and one on which nothing goes on gives way at once.
 func (l *Listener) Serve() {
 	defer l.wg.Done()
 	for {
@@ -104,22 +106,38 @@
 	}
 }
 
-// evict wakes the connection that lay idle for longest to its end. Where none
-// does, the next that has its answer ends: one evicted may have been given a
-// request at that moment, and a place must come free all the same.
+// evict closes the connection that has gone without a request for longest, if
+// nothing lies unread on it. Those that never had one come first: some peers
+// connect by hundreds and say nothing, and others should not have to make room
+// for them. Where none is to be had, the next that has its answer ends.
 func (l *Listener) evict() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.crowded.Store(true)
-	var first *client
-	for k := range l.open {
-		if k.idle && (first == nil || k.since.Before(first.since)) {
-			first = k
+	for {
+		var first *client
+		for k := range l.open {
+			if k.idle && !k.gone && (first == nil || k.before(first)) {
+				first = k
+			}
+		}
+		if first == nil {
+			return
+		}
+		first.gone = true
+		if first.quiet() {
+			first.Close()
+			return
 		}
 	}
-	if first != nil {
-		first.SetReadDeadline(time.Now().Add(lastLook))
+}
+
+// before tells whether a connection gives way before another one.
+func (k *client) before(o *client) bool {
+	if k.served != o.served {
+		return o.served
 	}
+	return k.since.Before(o.since)
 }
 
 // ending tells that connections are to end after the answer under way.
@@ -157,15 +175,21 @@
 func (l *Listener) rest(k *client, idle bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	k.idle, k.since = idle, time.Now()
+	began := k.since
+	k.idle, k.gone, k.since = idle, false, time.Now()
 	switch {
+	case !idle && !k.served: // one that connects and sends no whole request is not waited for
+		k.SetDeadline(began.Add(readSpan))
 	case !idle:
 		k.SetDeadline(k.since.Add(readSpan))
 	case l.closing.Load() || l.crowded.Load() && k.served:
 		k.SetDeadline(k.since.Add(lastLook))
+	case !k.served:
+		k.SetDeadline(k.since.Add(readSpan))
 	default:
 		k.SetDeadline(k.since.Add(idleSpan))
 	}
+	k.served = k.served || !idle
 }
 
 // attend serves one connection, one request after another.
@@ -185,7 +209,6 @@
 			return
 		}
 		l.rest(k, false)
-		k.served = true
 		if !l.serve(k) {
 			return
 		}
--- a/internal/protocol/socket_test.go
+++ b/internal/protocol/socket_test.go
@@ -8,6 +8,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"testing"
 	"time"
@@ -348,6 +349,44 @@
 	}
 }
 
+// Peers that connect and say nothing, however many, keep nobody else out: a
+// connection that has served and lies idle stays, and a new one is served. Each
+// of them, and one that leaves off in the middle of a request, is closed.
+func TestSilentPeers(t *testing.T) {
+	l := listener(t, newPosts())
+	dialed := func() net.Conn {
+		conn, err := net.Dial("tcp", l.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { conn.Close() })
+		conn.SetReadDeadline(time.Now().Add(10 * time.Second))
+		return conn
+	}
+	ask := func(conn net.Conn) {
+		t.Helper()
+		io.WriteString(conn, "GET /_health HTTP/1.1\r\nHost: h\r\n\r\n")
+		if r, err := http.ReadResponse(bufio.NewReader(conn), nil); err != nil || r.StatusCode != 200 {
+			t.Fatal(err)
+		}
+	}
+	kept := dialed()
+	ask(kept)
+	half := dialed()
+	io.WriteString(half, "POST /status HTTP/1.1\r\nHost")
+	silent := []net.Conn{half}
+	for range 40 {
+		silent = append(silent, dialed())
+	}
+	ask(dialed())
+	ask(kept)
+	for i, conn := range silent {
+		if _, err := io.Copy(io.Discard, conn); os.IsTimeout(err) {
+			t.Errorf("silent connection %d: %v", i, err)
+		}
+	}
+}
+
 // At the limit of connections one that lies idle gives way to a new one.
 func TestListenerLimit(t *testing.T) {
 	l := listener(t, newPosts())
