Forget targets that left long ago, and close their connections as they leave

A whole list that left one out did not take it off the group. Idle connections to one that left stayed until their time was up.

--- a/control/control.go
+++ b/control/control.go
@@ -60,6 +60,7 @@
 	for _, e := range list {
 		c.learn(e)
 	}
+	c.prune()
 }
 
 // heard notes that the list answered, or failed to. Where the list answers
--- a/control/restart_test.go
+++ b/control/restart_test.go
@@ -86,3 +86,21 @@
 		t.Errorf("without a target: %q, advice %v", homeless.final, homeless.advice)
 	}
 }
+
+// Endpoints that left long ago are forgotten, with the destinations they were
+// all of; one that comes back soon is known with its failures.
+func TestForgotten(t *testing.T) {
+	r := newRecorder(t, settings())
+	for i := range 200 {
+		r.lists(ListDelta, Endpoint{ID: EndpointID(1000 + i), Destination: 50 + i, State: Ready})
+		r.lists(ListDelta, Endpoint{ID: EndpointID(1000 + i), Destination: 50 + i, State: Removed})
+		if r.c.endpoints[EndpointID(1000+i)] == nil {
+			t.Fatal("forgotten at once")
+		}
+		r.pass(time.Second)
+	}
+	keep := int((2*r.c.set.Cold+r.c.set.FallWindow+r.c.set.DrainGrace)/time.Second) + 1
+	if len(r.c.endpoints) > keep || len(r.c.byID) > keep {
+		t.Errorf("%d endpoints and %d destinations known, %d at most", len(r.c.endpoints), len(r.c.byID), keep)
+	}
+}
--- a/control/state.go
+++ b/control/state.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"sort"
@@ -39,8 +40,9 @@
 	out    int // calls out
 	bad    int // answers in a row that served nothing
 	used   time.Duration
-	linked bool  // a connection is thought open
-	last   *call // the latest call, which sends of one instant may share
+	linked bool          // a connection is thought open
+	left   time.Duration // when it was last seen to be listed
+	last   *call         // the latest call, which sends of one instant may share
 }
 
 // A call is one connection's worth of messages: one slot, one fate.
@@ -233,9 +235,41 @@
 	for _, e := range list {
 		named[e.ID] = true
 	}
-	for id, e := range c.endpoints {
+	for _, id := range slices.Sorted(maps.Keys(c.endpoints)) { // in order, as it acts
 		if !named[id] {
-			e.State = Removed
+			c.leave(c.endpoints[id])
+		}
+	}
+}
+
+// leave takes an endpoint off the list. Its idle connections are of no use: who
+// comes under its address has another id.
+func (c *Controller) leave(e *endpoint) {
+	if e.State == Removed {
+		return
+	}
+	e.State, e.left = Removed, c.now
+	if e.linked && e.out == 0 {
+		e.linked = false
+		c.act.Disconnect(e.ID)
+	}
+}
+
+// prune forgets endpoints that left long ago: where new ones replace old ones
+// all day, what is known of those would grow without end, and each choice would
+// look through it. One that comes back within a cold return is known again, so
+// that an outage seen before is not forgotten.
+func (c *Controller) prune() {
+	keep := 2*c.set.Cold + c.set.FallWindow + c.set.DrainGrace
+	for id, e := range c.endpoints {
+		if e.State != Removed || e.out > 0 || c.now-e.left < keep {
+			continue
+		}
+		delete(c.endpoints, id)
+		d := e.dest
+		d.endpoints = without(d.endpoints, e)
+		if len(d.endpoints) == 0 && !d.awake {
+			delete(c.byID, d.id)
 		}
 	}
 }
@@ -261,8 +295,8 @@
 	}
 	line.Destination = e.Destination
 	if line.State == Removed {
-		line = e.Endpoint
-		line.State = Removed
+		c.leave(e)
+		return
 	}
 	e.Endpoint = line
 }
--- a/internal/state/loop.go
+++ b/internal/state/loop.go
@@ -186,7 +186,7 @@
 	case Ended:
 		l.book(e)
 	case News:
-		l.ctl.Endpoints(l.since(), e.Form, l.group.take(e))
+		l.ctl.Endpoints(l.since(), e.Form, l.group.take(e, l.now))
 	case Probed:
 		l.ctl.Probed(l.since(), e.Target, e.Result, e.Took, nil)
 	case Acknowledged:
--- a/internal/state/loop_test.go
+++ b/internal/state/loop_test.go
@@ -326,3 +326,18 @@
 		}
 	}
 }
+
+// The target group forgets those that left long ago, also where only a whole
+// list tells of it, and keeps the numbers of those that come back.
+func TestGroupForgets(t *testing.T) {
+	g, now := newGroup(), time.Now()
+	up := func(id string) Target { return Target{ID: id, Endpoint: control.Endpoint{State: control.Ready}} }
+	back := up("back")
+	first := g.take(News{Form: control.ListDelta, Targets: []Target{back, up("gone")}}, now)
+	g.take(News{Form: control.ListFull, Targets: nil}, now)
+	again := g.take(News{Form: control.ListDelta, Targets: []Target{back}}, now.Add(goneSpan/2))
+	g.take(News{Form: control.ListDelta}, now.Add(2*goneSpan))
+	if again[0].ID != first[0].ID || g.byID["back"] == nil || g.byID["gone"] != nil || len(g.byNum) != 1 || len(g.left) != 0 {
+		t.Errorf("numbers %d and %d, known %v", first[0].ID, again[0].ID, g.byID)
+	}
+}
--- a/internal/state/table.go
+++ b/internal/state/table.go
@@ -134,11 +134,17 @@
 	byNum   map[control.EndpointID]*Target
 	version int64
 	next    control.EndpointID
-	served  map[int]bool // destinations that have or had a target
+	served  map[int]bool         // destinations that have or had a target
+	left    map[string]time.Time // targets off the list, and since when
 }
 
+// goneSpan is how long a target that left is known by its number: it may come
+// back under its id, and the controller remembers it for a while. Then it is
+// forgotten, as new ones may replace old ones all day.
+const goneSpan = 2 * time.Minute
+
 func newGroup() *group {
-	return &group{byID: map[string]*Target{}, byNum: map[control.EndpointID]*Target{}, served: map[int]bool{}, next: 1}
+	return &group{byID: map[string]*Target{}, byNum: map[control.EndpointID]*Target{}, served: map[int]bool{}, left: map[string]time.Time{}, next: 1}
 }
 
 // serves tells whether a destination has or had a target; as long as none is
@@ -148,12 +154,18 @@
 }
 
 // take enters news and returns its lines as the controller wants them. A
-// target that leaves keeps its number: it may come back under its id.
-func (g *group) take(n News) []control.Endpoint {
+// target that leaves keeps its number for a while.
+func (g *group) take(n News, now time.Time) []control.Endpoint {
 	if n.Form == control.ListFailed {
 		return nil
 	}
 	g.version = n.Version
+	if n.Form != control.ListDelta {
+		for id := range g.byID { // those that a whole list leaves out are gone
+			g.leave(id, now)
+		}
+	}
+	g.prune(now)
 	lines := make([]control.Endpoint, 0, len(n.Targets))
 	for _, t := range n.Targets {
 		known := g.byID[t.ID]
@@ -170,6 +182,9 @@
 		}
 		if t.State != control.Removed {
 			known.Addr = t.Addr
+			delete(g.left, t.ID)
+		} else {
+			g.leave(t.ID, now)
 		}
 		t.Endpoint.ID, t.Destination = known.Endpoint.ID, known.Destination
 		known.Endpoint = t.Endpoint
@@ -177,3 +192,22 @@
 	}
 	return lines
 }
+
+// leave notes that a target is not listed any more.
+func (g *group) leave(id string, now time.Time) {
+	if _, before := g.left[id]; !before {
+		g.left[id] = now
+	}
+}
+
+// prune forgets the targets that left long ago.
+func (g *group) prune(now time.Time) {
+	for id, since := range g.left {
+		if now.Sub(since) < goneSpan {
+			continue
+		}
+		delete(g.left, id)
+		delete(g.byNum, g.byID[id].Endpoint.ID)
+		delete(g.byID, id)
+	}
+}
