Learn the share of a limit from refusals and served calls, and take neither for an outage

The share of a limit (share, pace) only ever fell, since it grew by reports alone and there are none here; what was left was a floor of four times this sender's part, halved by refusals and back after two answers, so that it swung around the limit. Now a refusal within 2 s of a served call is one above a limit; the share falls to 0.65 once for calls sent together and rises by 0.06 in a second with served calls.

--- a/control/control.go
+++ b/control/control.go
@@ -24,11 +24,11 @@
 	wanted       = 0.5                    // part of that, after which others may have its slot
 	cutUnsafe    = 8.0                    // one that can't be repeated: cutting it short loses it
 	rateSpan     = 10 * time.Second       // memory of the rate of a destination's traffic
-	burst        = 500 * time.Millisecond // depth of a limit's token bucket
-	shareDown    = 0.8                    // a refusal takes the share of a limit down to this part
-	mostPart     = 4.0                    // so many of this instance's parts stay after a refusal...
-	mostHalved   = 4                      // ...halved with each further one, so often at most
-	leastShare   = 0.01                   // and from here the share grows again
+	burst        = 200 * time.Millisecond // depth of a limit's token bucket
+	shareDown    = 0.65                   // a refusal takes the share of a limit down to this part
+	shareRise    = 0.06                   // and each second with served calls adds so much again
+	leastPart    = 0.4                    // but it leaves so much of this instance's part
+	leastShare   = 0.01                   // with reports the share grows from here
 	roomLeft     = 0.5                    // a refusal with less of a limit left is no outage
 	shareUp      = 0.1                    // an answer with all the allowance left raises it by this part
 	briefIdle    = 250 * time.Millisecond // a connection idle for less counts as busy
@@ -226,7 +226,7 @@
 	if !c.crowded(a.endpoint, o) {
 		c.health(a.endpoint, a.sent, o.Result, o.Wait)
 	}
-	c.share(a.endpoint, o.Result, o.Load)
+	c.share(a, o.Result, o.Load)
 }
 
 // crowded tells a refusal above a known limit, with nothing of it left, from an outage.
@@ -403,6 +403,7 @@
 	rt := e.route
 	if r == Served {
 		e.dest.shy = false
+		rt.goodAt = c.now
 		// Mere silence that ends in an answer was slowness, and a short streak bad luck or a limit met.
 		// Failures over a while mean an outage, and a cold return; one met on the way back goes on.
 		if rt.bad > 0 && c.now-rt.since >= c.set.FallWindow {
@@ -415,6 +416,12 @@
 		e.bad, rt.bad = 0, 0
 		return
 	}
+	// A refusal between answers that serve is one above a limit, which share and its pace deal with. Taken
+	// for an outage, it would cost a pause and a slow start while there is room.
+	if r == Full && !rt.open && wait < c.set.FallWindow && rt.goodAt > 0 && c.now-rt.goodAt < c.set.FallWindow {
+		rt.wait = max(rt.wait, c.now+wait)
+		return
+	}
 	if r == TimedOut && sent >= rt.badAt {
 		e.dest.late++
 	}
@@ -451,7 +458,7 @@
 		whole = e.Weight
 	}
 	if !rt.warming {
-		return max(whole*rt.share, min(whole, c.part(e)*mostPart/float64(int(1)<<min(rt.fulls, mostHalved))))
+		return max(whole*rt.share, min(whole, c.part(e)*leastPart))
 	}
 	f := c.set.ColdFrom
 	if c.set.Cold > 0 {
@@ -544,18 +551,22 @@
 	c.freed = c.freed[:0]
 }
 
-// share learns this instance's part of a route's limit: a refusal lowers it, answers that tell of allowance
-// left raise it. Each stands for what half the siblings see: where hundreds call, a refusal means that in sum
-// they exceed the limit many times, and where refused calls use it up none gets through.
-func (c *Controller) share(e *endpoint, r Result, load []float32) {
-	rt, fleet := e.route, float64(c.set.Siblings)/2
+// share learns this instance's part of a route's limit: refusals lower it, once for calls sent together, and
+// served calls raise it slowly, so that the siblings meet near the limit and not far above. Reports that tell
+// of allowance left raise it at once. A refusal and a report stand for what half the siblings see: where
+// hundreds call, one refusal means that in sum they exceed the limit many times.
+func (c *Controller) share(a *attempt, r Result, load []float32) {
+	rt, fleet := a.endpoint.route, float64(c.set.Siblings)/2
 	if r == Full && !rt.warming {
-		rt.share *= math.Pow(shareDown, fleet)
-		rt.fulls++
+		if a.sent >= rt.cutAt {
+			rt.share *= math.Pow(shareDown, fleet)
+			rt.cutAt = c.now
+		}
 		rt.tokens, rt.filled = c.rng.Float64()-0.5, max(c.now, rt.wait) // not all siblings at one instant
 	}
 	if r == Served {
-		rt.fulls = min(rt.fulls, mostHalved) / 2
+		grown := min(c.now-rt.grownAt, time.Second).Seconds() * shareRise
+		rt.share, rt.grownAt = min(1, rt.share+grown), c.now
 	}
 	if i := c.set.ReportShare; r == Served && i >= 0 && i < len(load) {
 		rt.share = min(1, max(rt.share, leastShare)*math.Pow(1+shareUp*float64(load[i]), fleet))
--- a/control/restart_test.go
+++ b/control/restart_test.go
@@ -104,3 +104,42 @@
 		t.Errorf("%d endpoints and %d destinations known, %d at most", len(r.c.endpoints), len(r.c.byID), keep)
 	}
 }
+
+// Refusals above a limit, with served calls between them, are no outage: the
+// route stays open to ordinary calls, at a pace that each refusal lowers and
+// served calls raise again.
+func TestRefusalsBetweenAnswers(t *testing.T) {
+	set := settings()
+	set.Weights = RoughWeights
+	r := newRecorder(t, set)
+	r.lists(ListDelta, Endpoint{ID: 1, State: Ready, Weight: 20})
+	e := r.c.endpoints[1]
+	r.arrive(1, 0, 0)
+	r.pass(50 * ms)
+	r.answer(1, Served, 0)
+	whole := r.c.pace(e)
+	m := r.arrive(2, 0, 0)
+	for range 2 * streak {
+		for !m.out {
+			r.pass(50 * ms)
+		}
+		r.answer(2, Full, 0)
+	}
+	low := r.c.pace(e)
+	if e.route.open || low >= whole/2 {
+		t.Fatalf("open %t, pace %.1f of %.1f", e.route.open, low, whole)
+	}
+	for !m.out {
+		r.pass(50 * ms)
+	}
+	r.answer(2, Served, 0)
+	for id := MessageID(3); id < 20; id++ {
+		for m := r.arrive(id, 0, 0); !m.out; {
+			r.pass(50 * ms)
+		}
+		r.answer(id, Served, 0)
+	}
+	if up := r.c.pace(e); up <= low || up > whole {
+		t.Errorf("pace %.1f after %.1f and %.1f", up, whole, low)
+	}
+}
--- a/control/state.go
+++ b/control/state.go
@@ -15,6 +15,7 @@
 	bad     int           // answers in a row that served nothing
 	since   time.Duration // the first of them
 	badAt   time.Duration // the latest of them
+	goodAt  time.Duration // the latest answer that served
 	open    bool          // taken for an outage: lone calls only
 	before  time.Duration // open or warming: T_m before the trouble
 	proved  bool          // open: a probe was answered, so one call may go
@@ -26,10 +27,11 @@
 	warming bool
 	tokens  float64 // token bucket of the slow start
 	filled  time.Duration
-	share   float64 // this instance's part of the limit
-	fulls   int     // refusals above the limit in a row, halved by an answer
-	told    bool    // a report came, also one that tells of no limit
-	limit   float64 // reported limit in calls a second; 0 = none known
+	share   float64       // this instance's part of the limit
+	cutAt   time.Duration // when a refusal last lowered it
+	grownAt time.Duration // when an answer last raised it
+	told    bool          // a report came, also one that tells of no limit
+	limit   float64       // reported limit in calls a second; 0 = none known
 }
 
 // An endpoint is a listed endpoint with what its own calls have shown.
