Test open routes twice as often, and wait longer for calls that may be repeated

Tests lay up to a quarter of the cold time apart (open), though one a second weighs a tenth of what a cold destination may be sent. Now an eighth.

--- a/control/control.go
+++ b/control/control.go
@@ -20,14 +20,14 @@
 	narrowCap    = 0.5                    // the same after a failure, until a call is served
 	deviations   = 4.0                    // mean deviations above T_m that a usual call takes at most
 	driftWeight  = 0.1                    // weight of the latest call in how calls now compare with T_m
-	cutSafe      = 3.0                    // a repeatable message waits for an answer so many usual calls
+	cutSafe      = 5.0                    // a repeatable message waits for an answer so many usual calls
 	wanted       = 0.5                    // part of that, after which others may have its slot
 	cutUnsafe    = 8.0                    // one that can't be repeated: cutting it short loses it
 	rateSpan     = 10 * time.Second       // memory of the rate of a destination's traffic
 	burst        = 200 * time.Millisecond // depth of a limit's token bucket
 	shareDown    = 0.65                   // a refusal takes the share of a limit down to this part
 	shareRise    = 0.06                   // and each second with served calls adds so much again
-	leastPart    = 0.4                    // but it leaves so much of this instance's part
+	leastPart    = 0.15                    // but it leaves so much of this instance's part
 	leastShare   = 0.01                   // with reports the share grows from here
 	roomLeft     = 0.5                    // a refusal with less of a limit left is no outage
 	shareUp      = 0.1                    // an answer with all the allowance left raises it by this part
@@ -44,6 +44,7 @@
 	yieldWeight  = 0.02                   // weight of the latest call in that
 	streak       = 3                      // bad answers in a row that open a route
 	firstTest    = 4                      // part of the cold time that the first test of a route waits at most
+	testMost     = 8                      // part of the cold time between two tests of a route at most
 	briskCall    = 1.5                    // so many T_m of before the trouble take calls of a warm destination
 	briskStep    = 0.1                    // and takes this part off the rest of its slow start
 	pulse        = 100 * time.Millisecond // step at which the clock is watched while calls are out
@@ -367,7 +368,7 @@
 		rt.open, rt.backoff = true, max(first, c.set.FallWindow/2)
 	}
 	rt.retryAt = c.now + time.Duration((0.75+c.rng.Float64()/2)*float64(rt.backoff))
-	rt.backoff = min(rt.backoff*2, max(c.set.Cold/4, c.rare(e)))
+	rt.backoff = min(rt.backoff*2, max(c.set.Cold/testMost, c.rare(e)))
 }
 
 // rare is the time between tests that takes this instance's part of half the
--- a/control/restart_test.go
+++ b/control/restart_test.go
@@ -143,3 +143,32 @@
 		t.Errorf("pace %.1f after %.1f and %.1f", up, whole, low)
 	}
 }
+
+// A shut destination is tested often enough that its return is not missed for
+// long: what waits for it meanwhile runs out of time.
+func TestOpenRouteTestedOften(t *testing.T) {
+	set := settings()
+	set.Weights = RoughWeights
+	r := newRecorder(t, set)
+	r.lists(ListDelta, Endpoint{ID: 1, State: Ready, Weight: 20})
+	m := r.arrive(1, 0, 0)
+	most, last := time.Duration(0), time.Duration(0)
+	for n := range 10 {
+		for m.final == "" && !m.out {
+			r.pass(10 * ms)
+		}
+		if m.final != "" {
+			m = r.arrive(MessageID(n+2), 0, 0)
+			continue
+		}
+		if r.c.endpoints[1].route.open && last > 0 {
+			most = max(most, r.c.now-last)
+		}
+		last = r.c.now
+		r.pass(10 * ms)
+		r.answer(m.ID, Full, 0)
+	}
+	if limit := set.Cold / 4; most == 0 || most > limit {
+		t.Errorf("tests %v apart, %v at most", most, limit)
+	}
+}
