Keep fewer connections of clients that ask once and hold on to them

Clients asked once and kept their connection for good (127 such open at 4.8 s of the 128 that clients may hold), and as the listener let served connections lie for 10 s (listener.go, idleSpan), they could not ask on new ones. Now 2.5 s, and beyond a quarter of the descriptors an answer ends its connection, which says so instead of closing under a request. TestConnectionsKept fails without it.

--- a/internal/lifecycle/serve.go
+++ b/internal/lifecycle/serve.go
@@ -29,6 +29,7 @@
 
 const (
 	memoryShare  = 0.7 // of the memory limit: files and stacks count, too
+	keepPart     = 4   // the part of the descriptors that clients' connections take between requests, less than the third they may hold
 	spareSockets = 64  // for the journal, discovery, the platform, probes and dials
 )
 
@@ -65,7 +66,7 @@
 	discovery := protocol.NewDiscovery(loop, c.Discovery, c.Names, c.Settings.MustAsk, log)
 	notices := protocol.NewNotices(loop, c.Discovery, log)
 	loop.Connect(sender, discovery, notices)
-	listener, err := protocol.Listen(c.Listen, loop, c.Names, c.Settings.Classes, clients, log)
+	listener, err := protocol.Listen(c.Listen, loop, c.Names, c.Settings.Classes, clients, c.Limits.Sockets/keepPart, log)
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
--- a/internal/protocol/listener.go
+++ b/internal/protocol/listener.go
@@ -18,12 +18,12 @@
 )
 
 const (
-	idleSpan   = 10 * time.Second       // a client's connection may lie idle so long after a request
-	readSpan   = 2 * time.Second        // a request must be read within this; the first one from the connection on
-	answerSpan = 300 * time.Millisecond // ... and answered within this, as clients wait 400 ms
-	lastLook   = 20 * time.Millisecond  // one that is to end: a request on its way still gets its answer
-	shedSpan   = 500 * time.Millisecond // what is left of a request too long is read for so long
-	busyPause  = time.Second            // when to come again if the loop is not to be had
+	idleSpan   = 2500 * time.Millisecond // a client's connection may lie idle so long after a request
+	readSpan   = 2 * time.Second         // a request must be read within this; the first one from the connection on
+	answerSpan = 300 * time.Millisecond  // ... and answered within this, as clients wait 400 ms
+	lastLook   = 20 * time.Millisecond   // one that is to end: a request on its way still gets its answer
+	shedSpan   = 500 * time.Millisecond  // what is left of a request too long is read for so long
+	busyPause  = time.Second             // when to come again if the loop is not to be had
 )
 
 // Intake takes what the listener reads; the loop is one.
@@ -45,8 +45,11 @@
 	crowded atomic.Bool // a connection waits for a place: others end after their answer
 	wg      sync.WaitGroup
 
-	mu   sync.Mutex
-	open map[*client]struct{}
+	keep int // so many connections are kept after a request
+
+	mu     sync.Mutex
+	open   map[*client]struct{}
+	served int // of those, the ones that had a request
 }
 
 // A client is one client's connection.
@@ -59,15 +62,17 @@
 	since  time.Time
 }
 
-// Listen opens the listening socket, for so many connections at most.
-func Listen(addr string, to Intake, n Names, classes []control.Class, most int, log *slog.Logger) (*Listener, error) {
+// Listen opens the listening socket, for so many connections at most. Of those
+// that had a request so many are kept for the next one: some clients ask once and
+// hold on to their connection for good, and clients may not hold that many.
+func Listen(addr string, to Intake, n Names, classes []control.Class, most, keep int, log *slog.Logger) (*Listener, error) {
 	sock, err := net.Listen("tcp", addr)
 	if err != nil {
 		return nil, err
 	}
 	l := &Listener{
 		to: to, names: n, classes: classes, log: log, sock: sock,
-		places: make(chan struct{}, most), open: map[*client]struct{}{},
+		places: make(chan struct{}, most), keep: keep, open: map[*client]struct{}{},
 	}
 	l.wg.Add(1) // for Serve
 	return l, nil
@@ -142,7 +147,12 @@
 
 // ending tells that connections are to end after the answer under way.
 func (l *Listener) ending() bool {
-	return l.closing.Load() || l.leaving.Load() || l.crowded.Load()
+	if l.closing.Load() || l.leaving.Load() || l.crowded.Load() {
+		return true
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.served > l.keep
 }
 
 // Leave ends each connection with its next answer. Clients that are told so
@@ -189,7 +199,10 @@
 	default:
 		k.SetDeadline(k.since.Add(idleSpan))
 	}
-	k.served = k.served || !idle
+	if !idle && !k.served {
+		k.served = true
+		l.served++
+	}
 }
 
 // attend serves one connection, one request after another.
@@ -197,6 +210,9 @@
 	defer func() {
 		l.mu.Lock()
 		delete(l.open, k)
+		if k.served {
+			l.served--
+		}
 		l.mu.Unlock()
 		k.Close()
 		<-l.places
--- a/internal/protocol/socket_test.go
+++ b/internal/protocol/socket_test.go
@@ -221,7 +221,7 @@
 // listener starts a listener over the posts.
 func listener(t *testing.T, p *posts) *Listener {
 	t.Helper()
-	l, err := Listen("127.0.0.1:0", p, testNames, testClasses, 4, quiet)
+	l, err := Listen("127.0.0.1:0", p, testNames, testClasses, 4, 3, quiet)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -387,6 +387,38 @@
 	}
 }
 
+// Of clients that ask once and hold on to their connection only so many are let:
+// the next ones hear that theirs ends with the answer, and those that lie idle
+// for long are closed. Clients that may not hold more could not ask otherwise.
+func TestConnectionsKept(t *testing.T) {
+	l := listener(t, newPosts())
+	var held []net.Conn
+	for i := range 8 {
+		conn, err := net.Dial("tcp", l.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer conn.Close()
+		conn.SetReadDeadline(time.Now().Add(10 * time.Second))
+		io.WriteString(conn, "GET /_health HTTP/1.1\r\nHost: h\r\n\r\n")
+		r, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		if err != nil || r.Close != (i >= l.keep) {
+			t.Fatalf("connection %d: %v, ends %t", i, err, err == nil && r.Close)
+		}
+		if _, err := io.Copy(io.Discard, r.Body); err != nil {
+			t.Fatal(err)
+		}
+		if held = append(held, conn); r.Close {
+			io.Copy(io.Discard, conn) // until it has ended
+		}
+	}
+	for i, conn := range held {
+		if _, err := io.Copy(io.Discard, conn); os.IsTimeout(err) {
+			t.Errorf("connection %d stays for good", i)
+		}
+	}
+}
+
 // At the limit of connections one that lies idle gives way to a new one.
 func TestListenerLimit(t *testing.T) {
 	l := listener(t, newPosts())
