--- a/control/control.go
+++ b/control/control.go
@@ -20,7 +20,7 @@
 	narrowCap    = 0.5                    // the same after a failure, until a call is served
 	deviations   = 4.0                    // mean deviations above T_m that a usual call takes at most
 	driftWeight  = 0.1                    // weight of the latest call in how calls now compare with T_m
-	cutSafe      = 5.0                    // a repeatable message waits for an answer so many usual calls
+	cutSafe      = 3.0                    // a repeatable message waits for an answer so many usual calls
 	wanted       = 0.5                    // part of that, after which others may have its slot
 	cutUnsafe    = 8.0                    // one that can't be repeated: cutting it short loses it
 	rateSpan     = 10 * time.Second       // memory of the rate of a destination's traffic
