--- a/control/control.go
+++ b/control/control.go
@@ -26,8 +26,8 @@
 	rateSpan     = 10 * time.Second       // memory of the rate of a destination's traffic
 	burst        = 200 * time.Millisecond // depth of a limit's token bucket
 	shareDown    = 0.65                   // a refusal takes the share of a limit down to this part
-	shareRise    = 0.06                   // and each second with served calls adds so much again
-	leastPart    = 0.15                    // but it leaves so much of this instance's part
+	shareRise    = 0.08                   // and each second with served calls adds so much again
+	leastPart    = 0.4                    // but it leaves so much of this instance's part
 	leastShare   = 0.01                   // with reports the share grows from here
 	roomLeft     = 0.5                    // a refusal with less of a limit left is no outage
 	shareUp      = 0.1                    // an answer with all the allowance left raises it by this part
