List the example's third destination, now that unlisted ones are turned away

Destination 3 of the example had no target and its message ended with a notice; since unlisted destinations get 400 the walk-through did not hold.

--- a/examples/toy/main.go
+++ b/examples/toy/main.go
@@ -1,5 +1,5 @@
 // Command toy plays the world around one sender, to try it by hand: discovery
-// and the platform on one address, and three targets. It serves on loopback
+// and the platform on one address, three targets, and one that is down. It serves on loopback
 // and prints what reaches it.
 package main
 
@@ -18,11 +18,12 @@
 
 const platform = "127.0.0.1:8500"
 
-// list is all that discovery ever tells.
+// list is all that discovery ever tells. Nobody listens at the last address.
 const list = `{"version":1,"full":true,"servers":[
 {"id":"s-one","addr":"127.0.0.1:9001","zone":"here","kind":"batching","cell":1,"state":"up","weight":20,"started_ms":0},
 {"id":"s-two","addr":"127.0.0.1:9002","zone":"there","kind":"batching","cell":1,"state":"up","weight":20,"started_ms":0},
-{"id":"s-three","addr":"127.0.0.1:9003","zone":"here","kind":"plain","cell":2,"state":"up","weight":20,"started_ms":0}]}`
+{"id":"s-three","addr":"127.0.0.1:9003","zone":"here","kind":"plain","cell":2,"state":"up","weight":20,"started_ms":0},
+{"id":"s-none","addr":"127.0.0.1:9004","zone":"here","kind":"plain","cell":3,"state":"up","weight":20,"started_ms":0}]}`
 
 // A handler answers one request with a status and a body.
 type handler func(r *http.Request, body string) (int, string)
