Load settings of our own from a Starlark script, and plan resends by partner

Held messages need rules that the operators write, and a pace that does not push over a partner which returns cold. internal/settings reads one script with step and size limits; faults name file, line and column. internal/resend decides without I/O how many resends a partner may be sent. Measured: in the planner's test 1 to 8 siblings that resend at once stay under fall-multiple times the capacity of a cold partner in each window, and ten minutes of a shut one cost 12 tests at most.

--- /dev/null
+++ b/internal/resend/planner_test.go
@@ -0,0 +1,244 @@
+package resend
+
+import (
+	"math"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+var limits = Limits{
+	Siblings: 1, ColdFrom: 0.22, Cold: 13 * time.Second, FallMultiple: 2, FallWindow: 2 * time.Second, Share: 0.5, MaxOut: 8,
+}
+
+var idle = Load{Slots: 16, HoldCap: 200}
+
+// A cold partner takes ColdFrom of its capacity as it returns and all of it
+// after Cold. All siblings resend at the same time, none knowing of the others.
+func TestColdReturn(t *testing.T) {
+	for _, siblings := range []int{1, 2, 3, 8} {
+		lim := limits
+		lim.Siblings = siblings
+		const weight, back = 20.0, 30 * time.Second
+		var fleet []*Planner
+		for i := range siblings {
+			p := New(lim, uint64(i+1))
+			p.Listed(0, 7, weight, true)
+			fleet = append(fleet, p)
+		}
+		var calls []time.Duration
+		tests, full := 0, 0.0
+		const step, end = 5 * time.Millisecond, 100 * time.Second
+		for now := time.Duration(0); now < end; now += step {
+			for _, p := range fleet {
+				for range p.Grant(now, []int{7}, idle) {
+					if now < back {
+						tests++
+						p.Saw(now, 7, Failed, 0, true)
+					} else {
+						calls = append(calls, now)
+						p.Saw(now, 7, Served, 0, true)
+						if now > end-10*time.Second {
+							full++
+						}
+					}
+					p.Ended(now, 7, true)
+				}
+			}
+		}
+		if most := 6 * siblings; tests > most || tests < siblings {
+			t.Errorf("%d siblings: %d tests in %v, at most %d wanted", siblings, tests, back, most)
+		}
+		first := calls[0]
+		for i, from := range calls { // any window of FallWindow from a call on
+			n := 0
+			for _, at := range calls[i:] {
+				if at < from+lim.FallWindow {
+					n++
+				}
+			}
+			warm := min(1, lim.ColdFrom+(1-lim.ColdFrom)*float64(from-first)/float64(lim.Cold))
+			if budget := lim.FallMultiple * warm * weight * lim.FallWindow.Seconds(); float64(n) > budget {
+				t.Fatalf("%d siblings: %d calls in the window from %v, %.1f allowed", siblings, n, from, budget)
+			}
+		}
+		if rate := full / 10; rate < 0.8*lim.Share*weight || rate > 1.05*lim.Share*weight {
+			t.Errorf("%d siblings: %.1f a second once warm, near %.1f wanted", siblings, rate, lim.Share*weight)
+		}
+	}
+}
+
+// warm returns a planner whose partners are at full level.
+func warm(t *testing.T, weight float64, dests ...int) (*Planner, time.Duration) {
+	t.Helper()
+	p, now := New(limits, 1), time.Duration(0)
+	for _, d := range dests {
+		p.Listed(now, d, weight, true)
+	}
+	for ; now < 40*time.Second; now += 20 * time.Millisecond {
+		for _, d := range p.Grant(now, dests, idle) {
+			p.Saw(now, d, Served, 0, true)
+			p.Ended(now, d, true)
+		}
+	}
+	return p, now
+}
+
+// grants counts what a planner grants over a while, all served at once.
+func grants(p *Planner, now, span time.Duration, load Load, dests ...int) map[int]int {
+	n := map[int]int{}
+	for end := now + span; now < end; now += 10 * time.Millisecond {
+		for _, d := range p.Grant(now, dests, load) {
+			n[d]++
+			p.Saw(now, d, Served, 0, true)
+			p.Ended(now, d, true)
+		}
+	}
+	return n
+}
+
+func TestStops(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		r       Result
+		wait    time.Duration
+		silence time.Duration
+		lone    bool
+	}{
+		{"refusal between served calls", Refused, 0, 700 * time.Millisecond, true},
+		{"told wait", Refused, 5 * time.Second, 5 * time.Second, false},
+		{"failure", Failed, 0, 3 * time.Second, false},
+		{"a wait told with an answer that served", Served, time.Second, time.Second, false},
+	} {
+		p, now := warm(t, 20, 7)
+		p.Saw(now, 7, c.r, c.wait, false) // live traffic stops resends too
+		if n := grants(p, now, c.silence, idle, 7); n[7] > 0 {
+			t.Errorf("%s: %d within %v", c.name, n[7], c.silence)
+		}
+		later := now + 20*time.Second
+		if c.lone {
+			later = now + 2*time.Second
+		}
+		n := grants(p, later, time.Second, idle, 7)
+		if n[7] == 0 || !c.lone && n[7] > 4 {
+			t.Errorf("%s: starts again with %d in a second", c.name, n[7])
+		}
+	}
+}
+
+// A partner that stays shut costs a few tests, ever more seldom.
+func TestStaysShut(t *testing.T) {
+	p := New(limits, 3)
+	p.Listed(0, 7, 20, true)
+	var at []time.Duration
+	for now := time.Duration(0); now < 10*time.Minute; now += 10 * time.Millisecond {
+		for range p.Grant(now, []int{7}, idle) {
+			at = append(at, now)
+			p.Saw(now, 7, Failed, 0, true)
+			p.Ended(now, 7, true)
+		}
+	}
+	if len(at) > 12 || len(at) < 5 {
+		t.Errorf("%d tests in 10 minutes: %v", len(at), at)
+	}
+}
+
+func TestLiveGoesFirst(t *testing.T) {
+	p, now := warm(t, 20, 7)
+	alone := grants(p, now, 5*time.Second, idle, 7)[7]
+	now += 5 * time.Second
+	n := 0
+	for i := range 1000 { // 20 live calls a second: all that it takes
+		now += 10 * time.Millisecond
+		if i%5 == 0 {
+			p.Saw(now, 7, Served, 0, false)
+		}
+		if i < 300 {
+			continue
+		}
+		for range p.Grant(now, []int{7}, idle) {
+			n++
+			p.Ended(now, 7, true)
+		}
+	}
+	if alone < 30 || n > 14 { // a tenth of the live calls
+		t.Errorf("%d alone, %d beside full live traffic", alone, n)
+	}
+	for name, load := range map[string]Load{
+		"slots": {Slots: 16, Flying: 12, HoldCap: 200}, "hold": {Slots: 16, HoldCap: 200, Open: 100},
+	} {
+		p, now := warm(t, 20, 7)
+		if n := grants(p, now, 5*time.Second, load, 7); n[7] > 0 {
+			t.Errorf("%s short: %d granted", name, n[7])
+		}
+	}
+}
+
+// Many for one destination don't starve others; tenants go in turn.
+func TestTurns(t *testing.T) {
+	p, now := warm(t, 20, 1, 2, 3)
+	n := grants(p, now, 10*time.Second, idle, 1, 2, 3)
+	for _, d := range []int{2, 3} {
+		if math.Abs(float64(n[d]-n[1])) > 0.1*float64(n[1]) {
+			t.Errorf("grants %v", n)
+		}
+	}
+	var got []string
+	for range 4 {
+		got = append(got, p.Tenant(now, 1, []string{"b", "a", "c"}))
+	}
+	got = append(got, p.Tenant(now, 1, []string{"c"}), p.Tenant(now, 1, []string{"b", "c"}))
+	if want := []string{"a", "b", "c", "a", "c", "b"}; !slices.Equal(got, want) {
+		t.Errorf("turns %v, want %v", got, want)
+	}
+}
+
+// Whatever comes, no more are out than allowed, none within a told wait, and at
+// most one to a partner under test.
+func TestAnyHistory(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		p := New(limits, rapid.Uint64().Draw(t, "seed"))
+		out := map[int]int{}
+		waits := map[int]time.Duration{}
+		var now time.Duration
+		all := []int{1, 2, 3}
+		for range rapid.IntRange(1, 200).Draw(t, "steps") {
+			now += time.Duration(rapid.IntRange(0, 3000).Draw(t, "ms")) * time.Millisecond
+			dest := rapid.SampledFrom(all).Draw(t, "dest")
+			switch rapid.IntRange(0, 3).Draw(t, "what") {
+			case 0:
+				p.Listed(now, dest, rapid.Float64Range(0, 100).Draw(t, "weight"), rapid.Bool().Draw(t, "ready"))
+			case 1:
+				wait := time.Duration(rapid.IntRange(0, 4000).Draw(t, "wait")) * time.Millisecond
+				p.Saw(now, dest, rapid.SampledFrom([]Result{Served, Refused, Failed, Nothing}).Draw(t, "result"), wait, rapid.Bool().Draw(t, "own"))
+				waits[dest] = max(waits[dest], now+wait)
+			case 2:
+				if out[dest] > 0 {
+					out[dest]--
+					p.Ended(now, dest, rapid.Bool().Draw(t, "in"))
+				}
+			}
+			sum := 0
+			for _, d := range p.Grant(now, all, idle) {
+				out[d]++
+				if now < waits[d] {
+					t.Fatalf("%v: a grant within the wait until %v", now, waits[d])
+				}
+				if p.partners[d].testing && out[d] > 1 {
+					t.Fatalf("%v: %d out under test", now, out[d])
+				}
+			}
+			for _, n := range out {
+				sum += n
+			}
+			if sum > limits.MaxOut {
+				t.Fatalf("%d out", sum)
+			}
+			if next := p.Next(now, all); next <= now || next > now+2*time.Second {
+				t.Fatalf("%v: next at %v", now, next)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/settings/settings_test.go
@@ -0,0 +1,120 @@
+package settings
+
+import (
+	"errors"
+	"strings"
+	"testing"
+	"time"
+)
+
+const store = "held(folder = \"/h\")\n"
+
+func TestFaultsNameTheirPlace(t *testing.T) {
+	for _, c := range []struct{ name, text, want string }{
+		{"syntax", "held(folder = \n\n", "s.star:3:1: got end of file"},
+		{"unknown name", "x = 1\n  \ny = what", "s.star:3:5: undefined: what"},
+		{"unknown bound", "held(folder = \"/h\", colour = 1)", "s.star:1:5: held: unexpected keyword argument \"colour\""},
+		{"bad bound", "\nheld(folder = \"/h\", max_records = 0)", "s.star:2:5: held: max_records"},
+		{"twice", store + store, "s.star:2:5: held: called twice"},
+		{"no store", "def hold(record, partner):\n  return HOLD", "s.star: rules hold and after need a store"},
+		{"shape", store + "def hold(record):\n  return HOLD", "s.star:2:1: hold takes (record, partner)"},
+		{"no function", store + "hold = 1", "s.star: hold is a int"},
+		{"load", "load(\"x\", \"y\")", "s.star:1:1: load"},
+		{"span", "resend(within = -1)", "s.star:1:7: within"},
+		{"nan", "resend(within = float(\"nan\"))", "s.star:1:7: within"},
+		{"method", "x = \"a\".join([])", "s.star:1:9: no field or method .join"},
+		{"union", "x = {} | {}", "s.star:1:5: the operator |"},
+		{"steps", "def f():\n  for i in range(10000):\n    for j in range(10000):\n      pass\nf()", "s.star:3:5: Starlark computation cancelled: too many steps"},
+		{"socket", "admin(socket = \"/" + strings.Repeat("x", 120) + "\")", "s.star:1:6: admin: the path"},
+	} {
+		_, err := Parse("s.star", []byte(c.text))
+		var own *Error
+		if !errors.As(err, &own) || !strings.HasPrefix(err.Error(), c.want) {
+			t.Errorf("%s: %v, want %s", c.name, err, c.want)
+		}
+	}
+}
+
+// No step may build what the memory does not hold.
+func TestStepsAreSmall(t *testing.T) {
+	for _, text := range []string{
+		`x = "x" * 1000000000`, `x = [0] * 1000000000`, `x = range(1000000000)`, `x = 1 << 60 << 60 << 1`,
+		"def f():\n  s = \"xx\"\n  for i in range(40):\n    s += s\nf()",
+		"def f():\n  s = [1]\n  for i in range(40):\n    s = s + s\nf()",
+		"def f():\n  n = 2\n  for i in range(60):\n    n *= n\nf()",
+		"def f():\n  s = [1]\n  for i in range(40):\n    s.extend(s)\nf()",
+		`x = getattr("x", "join")`, `x = str([1])`, `x = "%s" % "y"`, `x = "{}".format(1)`,
+	} {
+		if _, err := Parse("s.star", []byte(text)); err == nil {
+			t.Errorf("taken: %s", text)
+		}
+	}
+}
+
+func TestRules(t *testing.T) {
+	const text = store + `
+resend(within = 5 * MINUTE)
+
+def hold(record, partner):
+    if record.message_class == "status":
+        return GIVE_BACK
+    if record.message_class == "loop":
+        for i in range(10000):
+            for j in range(10000):
+                pass
+    if record.message_class == "odd":
+        return 7
+    return HOLD if record.left < 3 or partner.failing > 10 else GIVE_BACK
+
+def after(record, partner):
+    n = 0
+    n += record.resends
+    if n >= 3:
+        return drop()
+    if partner.wait_left > 0:
+        return keep(partner.wait_left)
+    if record.tenant == "bad":
+        return again(within = record.id)
+    return again(delay = 2)
+`
+	s, err := Parse("s.star", []byte(text))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, c := range []struct {
+		name string
+		r    Record
+		p    Partner
+		want bool
+		err  string
+	}{
+		{"status", Record{Class: "status"}, Partner{}, false, ""},
+		{"little time", Record{Class: "print", Left: time.Second}, Partner{}, true, ""},
+		{"partner down", Record{Class: "print", Left: time.Minute}, Partner{Failing: time.Minute}, true, ""},
+		{"else", Record{Class: "print", Left: time.Minute}, Partner{}, false, ""},
+		{"endless, its client's", Record{Class: "loop", Deferred: true}, Partner{}, false, "s.star:10:"},
+		{"endless, nobody's", Record{Class: "loop"}, Partner{}, true, "too many steps"},
+		{"no answer", Record{Class: "odd"}, Partner{}, true, "hold answered int"},
+	} {
+		got, err := s.Hold(c.r, c.p)
+		if got != c.want || (err == nil) != (c.err == "") || err != nil && !strings.Contains(err.Error(), c.err) {
+			t.Errorf("hold, %s: %t %v", c.name, got, err)
+		}
+	}
+	for _, c := range []struct {
+		name string
+		r    Record
+		p    Partner
+		want After
+		err  bool
+	}{
+		{"again", Record{}, Partner{}, After{What: Again, Delay: 2 * time.Second, Within: 5 * time.Minute}, false},
+		{"told to wait", Record{}, Partner{WaitLeft: time.Minute}, After{What: Keep, For: time.Minute}, false},
+		{"often enough", Record{Resends: 3}, Partner{}, After{What: Drop}, false},
+		{"a rule that fails keeps", Record{Tenant: "bad"}, Partner{}, After{}, true},
+	} {
+		if got, err := s.After(c.r, c.p); got != c.want || (err != nil) != c.err {
+			t.Errorf("after, %s: %+v %v", c.name, got, err)
+		}
+	}
+}
--- a/internal/state/book.go
+++ b/internal/state/book.go
@@ -27,6 +27,9 @@
 			}
 		}
 		e := l.table.entries[f.num]
+		if e != nil {
+			e.flights--
+		}
 		if end.Result == control.Rejected && ev.Call.size > 1 {
 			// One of them is to blame. Each goes by itself from now on, so that
 			// the others arrive and the one is found.
@@ -39,11 +42,22 @@
 			e.spare(f.attempt)
 			l.journal.add(sparedRecord(e.num, f.attempt))
 		}
+		if e != nil && l.keeper != nil {
+			e.came(f.attempt, end.Result)
+			e.rejected = e.rejected || end.Result == control.Rejected
+			l.keeper.Saw(f.Message.Destination, end.Result, end.Wait, e.seq > 0)
+		}
 		l.ctl.Done(l.since(), control.Outcome{
 			ID: f.num, Attempt: f.attempt, Endpoint: ev.Call.Target.Endpoint.ID, Result: end.Result,
 			Took: end.Took, Finished: end.Finished, Wait: end.Wait, NoSlot: end.NoSlot,
 		})
-		if e != nil && end.Finished {
+		switch {
+		case e == nil || !end.Finished || l.table.entries[f.num] != e:
+		case e.seq > 0 && e.notice == nil: // the keeper hears of it first
+			p := l.parting(e)
+			p.Delivered, p.Over = end.Result == control.Served, end.Result != control.Served
+			l.part(e, Notice{}, p)
+		case e.notice == nil || e.parting == nil:
 			l.over(e)
 		}
 	}
@@ -53,8 +67,13 @@
 func (l *Loop) over(e *entry) {
 	if l.table.entries[e.num] == e {
 		l.table.drop(e)
-		l.table.retire(e.ID, l.now)
 		l.journal.add(overRecord(e.num))
+		if e.seq == 0 {
+			l.table.retire(e.ID, l.now)
+		}
+		if e.seq == 0 && e.notice != nil && e.notice.Kept != nil {
+			l.settled = append(l.settled, e.ID)
+		}
 	}
 }
 
@@ -69,6 +88,16 @@
 		l.refuseNow(e, Verdict{Again: n.Again, Fatal: !n.Deferred})
 		return
 	}
+	if e.seq > 0 {
+		l.part(e, n, l.parting(e))
+		return
+	}
+	if p, kept := l.keeps(e, &n); kept {
+		n.Deferred, n.Again = false, 0
+		l.part(e, n, p)
+		l.notices = append(l.notices, *e.notice)
+		return
+	}
 	n.Num, n.ID = id, e.ID
 	l.table.settle(e, n)
 	l.journal.add(noticeRecord(&n))
@@ -85,7 +114,9 @@
 func (l *Loop) acknowledged(a Acknowledged) {
 	for _, num := range a.Nums {
 		if e := l.table.entries[num]; e != nil && e.notice != nil {
-			l.over(e)
+			if e.told = true; e.parting == nil {
+				l.over(e)
+			}
 		}
 	}
 }
--- a/internal/state/journal.go
+++ b/internal/state/journal.go
@@ -93,12 +93,20 @@
 	}
 	p = binary.AppendVarint(p, e.Deadline.UnixMicro())
 	p = flag(p, e.Again)
-	return text(p, string(e.Body))
+	p = text(p, string(e.Body))
+	if e.seq > 0 {
+		p = binary.AppendUvarint(p, e.seq)
+	}
+	return p
 }
 
 func forwardRecord(num control.MessageID, s sent) []byte {
 	p := binary.AppendUvarint(payload(recForward, num), uint64(s.attempt))
-	return binary.AppendVarint(binary.AppendVarint(p, s.at.UnixMicro()), int64(s.zone))
+	p = binary.AppendVarint(binary.AppendVarint(p, s.at.UnixMicro()), int64(s.zone))
+	if s.target != "" || s.told {
+		p = flag(text(p, s.target), s.told)
+	}
+	return p
 }
 
 func sparedRecord(num control.MessageID, attempt int) []byte {
@@ -107,9 +115,35 @@
 
 func overRecord(num control.MessageID) []byte { return payload(recOver, num) }
 
+// The bits of a notice's form.
+const (
+	formDeferred  = 1
+	formKept      = 2 // the keeper gets the message, or what came of it
+	formDelivered = 4
+	formOver      = 8
+	formClients   = 16 // without the keeper it would be its client's again
+)
+
 func noticeRecord(n *Notice) []byte {
-	p := flag(payload(recNotice, n.Num), n.Deferred)
-	return binary.AppendVarint(p, n.Again.Milliseconds())
+	form := uint64(0)
+	bit := func(b uint64, on bool) {
+		if on {
+			form |= b
+		}
+	}
+	bit(formDeferred, n.Deferred)
+	if k := n.Kept; k != nil {
+		form |= formKept
+		bit(formDelivered, k.Delivered)
+		bit(formOver, k.Over)
+		bit(formClients, k.Deferred)
+	}
+	p := binary.AppendUvarint(payload(recNotice, n.Num), form)
+	p = binary.AppendVarint(p, n.Again.Milliseconds())
+	if n.Kept != nil {
+		p = binary.AppendVarint(text(p, n.Kept.Reason), n.Kept.At.UnixMicro())
+	}
+	return p
 }
 
 // encode writes all that is owed, in the order of the numbers. The count of
@@ -117,16 +151,22 @@
 func encode(t *table) []byte {
 	var buf []byte
 	for _, e := range t.ordered() {
-		buf = record(buf, takeRecord(e))
-		for _, s := range e.ran {
-			buf = record(buf, forwardRecord(e.num, s))
-		}
-		if e.sends > 0 {
-			buf = record(buf, sparedRecord(e.num, e.sends-1+spareOffset))
-		}
-		if e.notice != nil {
-			buf = record(buf, noticeRecord(e.notice))
-		}
+		buf = appendEntry(buf, e)
+	}
+	return buf
+}
+
+// appendEntry writes all that is known of one message.
+func appendEntry(buf []byte, e *entry) []byte {
+	buf = record(buf, takeRecord(e))
+	for _, s := range e.ran {
+		buf = record(buf, forwardRecord(e.num, s))
+	}
+	if e.sends > 0 {
+		buf = record(buf, sparedRecord(e.num, e.sends-1+spareOffset))
+	}
+	if e.notice != nil {
+		buf = record(buf, noticeRecord(e.notice))
 	}
 	return buf
 }
@@ -321,11 +361,18 @@
 		m.Deadline = time.UnixMicro(s.number())
 		m.Again = s.count() == 1
 		m.Body = []byte(s.text())
+		seq := uint64(0)
+		if len(s.rest) > 0 {
+			seq = s.count()
+		}
 		if !s.bad && e == nil {
-			t.add(&entry{Message: m, num: num, answered: true})
+			t.add(&entry{Message: m, num: num, answered: true, seq: seq})
 		}
 	case recForward:
 		f := sent{attempt: int(s.count()), at: time.UnixMicro(s.number()), zone: int(s.number())}
+		if len(s.rest) > 0 {
+			f.target, f.told = s.text(), s.count() == 1
+		}
 		if !s.bad && e != nil {
 			e.ran = append(e.ran, f)
 			e.sends = max(e.sends, f.attempt+1)
@@ -344,9 +391,17 @@
 			t.drop(e)
 		}
 	case recNotice:
-		n := Notice{Num: num, Deferred: s.count() == 1, Again: time.Duration(s.number()) * time.Millisecond}
+		form := s.count()
+		n := Notice{Num: num, Deferred: form&formDeferred != 0, Again: time.Duration(s.number()) * time.Millisecond}
+		if form&formKept != 0 {
+			n.Kept = &Parting{
+				Num: num, Reason: s.text(), At: time.UnixMicro(s.number()),
+				Delivered: form&formDelivered != 0, Over: form&formOver != 0, Deferred: form&formClients != 0,
+			}
+		}
 		if !s.bad && e != nil && e.notice == nil {
 			n.ID = e.ID
+			e.parting = n.Kept
 			t.settle(e, n)
 		}
 	default:
--- a/internal/state/journal_test.go
+++ b/internal/state/journal_test.go
@@ -56,7 +56,7 @@
 	for _, id := range []string{"new", "out", "spared", "over", "deferred"} {
 		e := take(j, tb, id, 10)
 		if id != "new" {
-			j.add(forwardRecord(e.num, sent{0, time.UnixMicro(7), 1}))
+			j.add(forwardRecord(e.num, sent{attempt: 0, at: time.UnixMicro(7), zone: 1}))
 		}
 		if id == "spared" || id == "deferred" {
 			j.add(sparedRecord(e.num, 0))
--- /dev/null
+++ b/internal/state/keep.go
@@ -0,0 +1,321 @@
+package state
+
+import (
+	"time"
+
+	"cleathold/control"
+)
+
+// Keep: what becomes of a message that ends undelivered, where a keeper of such
+// messages is connected. A message is then either its client's again or the
+// keeper's, never both, and the journal says which before anyone is told. Until
+// the keeper has it, the journal keeps it. A message that the keeper sends again
+// comes back as one more message to the controller, without a client.
+
+// A Try is one attempt in the history of a message.
+type Try struct {
+	Target string // its id; "" = not known, from before a restart
+	Zone   int
+	At     time.Time // Unix time 0: not known
+	Result control.Result
+	Open   bool // no end is known
+}
+
+// triesMost bounds the history of a message where the settings don't.
+const triesMost = 64
+
+// A Parting is a message that goes to the keeper, or comes back to it.
+type Parting struct {
+	Num       control.MessageID
+	Seq       uint64 // the record that was sent again; 0 = a message that is new to the keeper
+	Message   *Message
+	Tries     []Try // of a message sent again: those since
+	Sends     int   // attempts in all
+	Reason    string
+	Deferred  bool // without the keeper it would be handed back to its client
+	Delivered bool
+	Over      bool // the target says that nothing more is owed
+	Turned    bool // not let in: it was never journaled and never sent
+	At        time.Time
+}
+
+// The reasons for which a message ends undelivered.
+const (
+	ReasonExpired  = "expired"        // its time was up
+	ReasonRan      = "may-have-run"   // an attempt may have run, and its class allows no other
+	ReasonMemory   = "memory-passed"  // the same, and the partner's memory of its key is over
+	ReasonAttempts = "attempts-spent" // it had all its attempts
+	ReasonRejected = "rejected"       // a target can't use it
+)
+
+// A Resend asks for a held message to be sent again.
+type Resend struct {
+	Seq     uint64
+	Message *Message
+	Sends   int           // attempts before
+	Ran     bool          // one of them may have run
+	RanAgo  time.Duration // the first such
+	RanZone int
+}
+
+// Load is how busy the loop is.
+type Load struct{ Slots, Flying, HoldCap, Open int }
+
+// Listing is what the target group knows of a destination.
+type Listing struct {
+	Weight float64 // calls a second that it takes from all senders together; 0 = not told
+	Ready  int     // targets that take new work
+}
+
+// Keeper keeps what can't be delivered. None of its methods may block: the loop
+// calls them within its rounds. It posts Resend, and Stored once it has a parting.
+type Keeper interface {
+	// Begin tells once, at the start, which partings the journal still owes (by id),
+	// and which records it is sending again.
+	Begin(owed []string, out []uint64)
+	// Wants tells who gets a message that ends: the keeper (true) or its client.
+	Wants(p *Parting) bool
+	// Take gives it a parting; an answer is owed by Stored, except where it was turned.
+	Take(p Parting)
+	// Settled tells that the journal has forgotten messages, so that they never come again.
+	Settled(ids []string)
+	// Saw tells what came of a call.
+	Saw(destination int, r control.Result, wait time.Duration, resend bool)
+	// Listed tells what is known of the destinations.
+	Listed(map[int]Listing)
+	// Handed tells of a client's message with a key that may belong to a record.
+	Handed(class int, key string)
+	// Busy tells how busy the loop is, once a round.
+	Busy(Load)
+}
+
+// Stored tells that the keeper has partings for good.
+type Stored struct{ Nums []control.MessageID }
+
+// reasonOf says why a message ends undelivered.
+func (l *Loop) reasonOf(e *entry) string {
+	class := l.set.Classes[min(max(e.Class, 0), len(l.set.Classes)-1)]
+	first, ran := e.first()
+	switch {
+	case e.rejected:
+		return ReasonRejected
+	case ran && class.Effect == control.Unsafe:
+		return ReasonRan
+	case l.set.SendCap > 0 && e.sends >= l.set.SendCap:
+		return ReasonAttempts
+	case ran && class.Effect == control.Keyed && l.now.Sub(first.at) >= class.Memory/2 && l.now.Before(e.Deadline.Add(-class.Deadline/10)):
+		return ReasonMemory
+	}
+	return ReasonExpired
+}
+
+// parting makes one of a message that ends.
+func (l *Loop) parting(e *entry) *Parting {
+	return &Parting{
+		Num: e.num, Seq: e.seq, Message: e.Message, Tries: e.history(), Sends: e.sends, Reason: l.reasonOf(e), At: l.now,
+	}
+}
+
+// history returns what is known of a message's attempts. Of those from before a
+// restart only the ones that may have run stand in the journal.
+func (e *entry) history() []Try {
+	list := make([]Try, 0, len(e.tries)+len(e.ran))
+	for _, s := range e.ran {
+		known := s.told
+		for _, t := range e.tries {
+			known = known || t.attempt == s.attempt
+		}
+		if !known {
+			list = append(list, Try{Target: s.target, Zone: s.zone, At: s.at, Open: true})
+		}
+	}
+	for _, t := range e.tries {
+		list = append(list, t.Try)
+	}
+	return list
+}
+
+// A numbered try knows its attempt.
+type numberedTry struct {
+	Try
+	attempt int
+}
+
+// tried notes an attempt that is about to leave.
+func (l *Loop) tried(e *entry, s sent) {
+	if l.keeper == nil || len(e.tries) >= triesMost {
+		return
+	}
+	e.tries = append(e.tries, numberedTry{Try{Target: s.target, Zone: s.zone, At: s.at, Open: true}, s.attempt})
+}
+
+// came notes what came of an attempt.
+func (e *entry) came(attempt int, r control.Result) {
+	for i := range e.tries {
+		if e.tries[i].attempt == attempt {
+			e.tries[i].Result, e.tries[i].Open = r, false
+		}
+	}
+}
+
+// keeps tells whether the keeper gets a message that ends with a notice. A
+// message whose client has not been answered yet may come again: it is not kept.
+// So it is where the journal runs full: there, what is taken on goes first.
+func (l *Loop) keeps(e *entry, n *Notice) (*Parting, bool) {
+	if l.keeper == nil || !e.answered || !l.journal.room(l.table.live+l.table.live/3) {
+		return nil, false
+	}
+	p := l.parting(e)
+	p.Deferred = n.Deferred
+	return p, l.keeper.Wants(p)
+}
+
+// part ends a message that the keeper is owed: the journal says so, and at the
+// end of the round the keeper is told.
+func (l *Loop) part(e *entry, n Notice, p *Parting) {
+	n.Num, n.ID, n.Kept = e.num, e.ID, p
+	e.parting = p
+	l.table.settle(e, n)
+	l.journal.add(noticeRecord(&n))
+	l.partings = append(l.partings, p)
+}
+
+// admitHeld lets a message in that the keeper sends again. Live traffic goes
+// first: it is turned where slots or room run short, or live messages for its
+// destination wait.
+func (l *Loop) admitHeld(r Resend) {
+	e := &entry{
+		Message: r.Message, num: l.table.next, answered: true, seq: r.Seq, sends: r.Sends,
+	}
+	if why := l.turns(e); why != "" {
+		l.keeper.Take(Parting{Seq: r.Seq, Message: r.Message, Turned: true, Reason: why, At: l.now})
+		return
+	}
+	if r.Ran {
+		e.ran = append(e.ran, sent{attempt: max(0, r.Sends-1), at: l.now.Add(-r.RanAgo), zone: r.RanZone, told: true})
+	}
+	l.table.add(e)
+	// Before the controller sees it: it may end within this round.
+	l.journal.buf = appendEntry(l.journal.buf, e)
+	l.fresh = append(l.fresh, e)
+	l.hand(e, false)
+}
+
+// turns says why a resend is not let in now.
+func (l *Loop) turns(e *entry) string {
+	switch {
+	case l.stopped || l.halted:
+		return "the sender stops"
+	case l.table.ids[e.ID] != nil:
+		return "its id is in use"
+	case !l.group.serves(e.Destination):
+		return "no target of its destination is listed"
+	case l.set.HoldCap > 0 && 2*l.table.open >= l.set.HoldCap:
+		return "the sender holds much live traffic"
+	case 4*l.flying >= 3*l.set.Slots:
+		return "few slots are free"
+	case !l.journal.room(2 * (l.table.live + takeCost(e.Message))):
+		return "the journal has little room"
+	}
+	for _, o := range l.table.entries {
+		if o.notice == nil && e.Key != "" && o.Key == e.Key && o.Class == e.Class {
+			return "a message with its key is open"
+		}
+		if o.notice == nil && o.seq == 0 && o.Destination == e.Destination && !l.isOut(o) {
+			return "live messages for its destination wait"
+		}
+	}
+	return ""
+}
+
+// isOut tells whether a forward of a message is out.
+func (l *Loop) isOut(e *entry) bool { return e.flights > 0 }
+
+// resending tells whether a held message with this key is being sent again.
+func (l *Loop) resending(class int, key string) bool {
+	if l.table.resends == 0 {
+		return false
+	}
+	for _, o := range l.table.entries {
+		if o.seq > 0 && o.notice == nil && o.Class == class && o.Key == key {
+			return true
+		}
+	}
+	return false
+}
+
+// stored goes on once the keeper has partings: nothing of them is owed to it.
+func (l *Loop) stored(s Stored) {
+	for _, num := range s.Nums {
+		e := l.table.entries[num]
+		if e == nil || e.parting == nil {
+			continue
+		}
+		e.parting = nil
+		if e.told || e.seq > 0 {
+			l.over(e)
+		}
+	}
+}
+
+// tell gives the keeper the round's partings, and what the journal has forgotten.
+func (l *Loop) tell() {
+	for _, p := range l.partings {
+		if l.keeper != nil {
+			l.keeper.Take(*p)
+		}
+	}
+	if l.keeper != nil && len(l.settled) > 0 {
+		l.keeper.Settled(l.settled)
+	}
+	l.partings, l.settled = nil, nil
+}
+
+// beginKeeper tells the keeper what the journal knows, before anything else.
+func (l *Loop) beginKeeper() {
+	if l.keeper == nil {
+		return
+	}
+	var owed []string
+	var out []uint64
+	for _, e := range l.table.ordered() {
+		if e.seq > 0 {
+			out = append(out, e.seq)
+		} else if e.parting != nil {
+			owed = append(owed, e.ID)
+		}
+	}
+	l.keeper.Begin(owed, out)
+}
+
+// list tells the keeper what the target group knows.
+func (l *Loop) tellListing() {
+	if l.keeper == nil {
+		return
+	}
+	all := map[int]Listing{}
+	for _, t := range l.group.byID {
+		if t.State == control.Removed {
+			continue
+		}
+		x := all[t.Destination]
+		if l.apart(t.Kind) {
+			x.Weight += t.Weight
+		} else {
+			x.Weight = max(x.Weight, t.Weight)
+		}
+		if t.State == control.Ready {
+			x.Ready++
+		}
+		all[t.Destination] = x
+	}
+	l.keeper.Listed(all)
+}
+
+// reparted completes a parting that the journal told of.
+func (l *Loop) reparted(e *entry) *Parting {
+	p := *e.parting
+	p.Num, p.Seq, p.Message, p.Tries, p.Sends = e.num, e.seq, e.Message, e.history(), e.sends
+	e.notice.Kept = &p
+	return &p
+}
--- a/internal/state/loop.go
+++ b/internal/state/loop.go
@@ -18,6 +18,7 @@
 	Dir       string
 	DiskBytes int64
 	Log       *slog.Logger
+	Keeper    Keeper // nil: what can't be delivered is not kept
 }
 
 // Loop owns the controller, the table, the target group and the journal. All
@@ -29,6 +30,7 @@
 	carrier  Carrier
 	list     Directory
 	notifier Notifier
+	keeper   Keeper
 
 	events chan any
 	start  time.Time
@@ -45,6 +47,8 @@
 	calls    []*Call       // of this round
 	ready    []*Call       // to be launched at the end of the round
 	notices  []Notice      // to be told at the end of the round
+	partings []*Parting    // to be given to the keeper at the end of the round
+	settled  []string      // ids that the journal has forgotten, of messages that the keeper has
 	backlog  []any         // events of the loop's own making, for the next round
 	out      map[*Call]int // forwards without an end
 	flying   int           // calls with the carrier
@@ -60,7 +64,7 @@
 		return nil, err
 	}
 	l := &Loop{
-		set: s.Settings, log: s.Log, events: make(chan any, 2*roundMost),
+		set: s.Settings, log: s.Log, keeper: s.Keeper, events: make(chan any, 2*roundMost),
 		start: time.Now(), table: t, group: newGroup(), journal: j,
 		round: map[control.EndpointID]*Call{}, out: map[*Call]int{}, finished: make(chan struct{}),
 	}
@@ -107,7 +111,7 @@
 // Idle tells whether nothing is owed any more, or nothing is out of a halted loop.
 func (l *Loop) Idle() bool {
 	answer := make(chan bool, 1)
-	l.Post(inspect(func() { answer <- len(l.table.entries) == 0 || l.halted && len(l.out) == 0 }))
+	l.Post(inspect(func() { answer <- l.table.idle() || l.halted && len(l.out) == 0 }))
 	select {
 	case idle := <-answer:
 		return idle
@@ -141,9 +145,16 @@
 // begin takes up what the journal told is owed.
 func (l *Loop) begin() {
 	l.now = time.Now()
+	l.beginKeeper()
 	for _, e := range l.table.ordered() {
-		if e.notice != nil {
+		if e.parting != nil {
+			e.parting = l.reparted(e)
+			l.partings = append(l.partings, e.parting)
+		}
+		if e.notice != nil && e.seq == 0 {
 			l.notifier.Tell(*e.notice)
+		}
+		if e.notice != nil {
 			continue
 		}
 		l.hand(e, true)
@@ -187,6 +198,11 @@
 		l.book(e)
 	case News:
 		l.ctl.Endpoints(l.since(), e.Form, l.group.take(e, l.now))
+		l.tellListing()
+	case Resend:
+		l.admitHeld(e)
+	case Stored:
+		l.stored(e)
 	case Probed:
 		l.ctl.Probed(l.since(), e.Target, e.Result, e.Took, nil)
 	case Acknowledged:
@@ -207,7 +223,7 @@
 // before the record of it is written.
 func (l *Loop) settle() {
 	for _, e := range l.fresh {
-		if l.table.entries[e.num] == e {
+		if l.table.entries[e.num] == e && e.seq == 0 {
 			l.journal.add(takeRecord(e))
 		}
 	}
@@ -246,12 +262,20 @@
 		l.notifier.Tell(n)
 	}
 	l.notices = nil
+	if l.keeper != nil {
+		l.tell()
+		l.keeper.Busy(Load{l.set.Slots, l.flying, l.set.HoldCap, l.table.open})
+	}
 }
 
 // withdraw takes back what a round did and the journal could not hold.
 func (l *Loop) withdraw() {
 	for _, e := range l.fresh {
-		if l.table.entries[e.num] == e {
+		if l.table.entries[e.num] == e && e.seq > 0 && e.notice == nil {
+			l.ctl.Gone(l.since(), e.num)
+			l.table.drop(e)
+			l.keeper.Take(Parting{Seq: e.seq, Message: e.Message, Turned: true, Reason: "the journal can't be written", At: l.now})
+		} else if l.table.entries[e.num] == e && e.verdict != nil {
 			l.refuseNow(e, Verdict{Again: l.pause(fullPause)})
 			l.ctl.Gone(l.since(), e.num)
 			l.release(e)
--- a/internal/state/loop_test.go
+++ b/internal/state/loop_test.go
@@ -301,7 +301,7 @@
 		tb.add(e)
 		j.add(takeRecord(e))
 		if c.ago > 0 {
-			j.add(forwardRecord(9, sent{0, now.Add(-c.ago), 0}))
+			j.add(forwardRecord(9, sent{attempt: 0, at: now.Add(-c.ago), zone: 0}))
 			if !c.ran {
 				j.add(sparedRecord(9, 0))
 			}
--- a/internal/state/route.go
+++ b/internal/state/route.go
@@ -34,6 +34,7 @@
 	}
 	f := &Forward{Message: e.Message, Deadline: l.now.Add(timeout), num: id, attempt: e.sends}
 	e.sends++
+	e.flights++
 	room := len(e.ID) + len(e.Key) + len(e.Body) + FrameRoom
 	c := l.round[to]
 	// A body holds so much: what doesn't fit one call takes another.
@@ -76,8 +77,12 @@
 func (l *Loop) recordCall(c *Call) {
 	for _, f := range c.Forwards {
 		if e := l.table.entries[f.num]; e != nil && !f.ended {
-			s := sent{f.attempt, l.now, c.Target.Zone}
+			s := sent{attempt: f.attempt, at: l.now, zone: c.Target.Zone}
+			if l.keeper != nil {
+				s.target = c.Target.ID
+			}
 			e.ran = append(e.ran, s)
+			l.tried(e, s)
 			l.journal.add(forwardRecord(e.num, s))
 		}
 	}
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -98,6 +98,7 @@
 	ID       string
 	Deferred bool // handed back; else undeliverable
 	Again    time.Duration
+	Kept     *Parting // the keeper gets the message
 }
 
 // Carrier carries calls to targets. None of its methods may block; what comes
--- a/internal/state/table.go
+++ b/internal/state/table.go
@@ -19,6 +19,14 @@
 	alone    bool    // goes in a call by itself: a target could not use one that it shared
 	notice   *Notice // ended, and the platform is owed this
 	cost     int64   // what it may take in the journal
+	flights  int     // forwards without an end
+
+	// Where a keeper is connected.
+	seq      uint64        // the keeper's record that this sends again; 0 = a client's message
+	tries    []numberedTry // its history
+	rejected bool          // a target can't use it
+	parting  *Parting      // ended, and the keeper is owed this
+	told     bool          // the platform has its notice
 }
 
 // sent is a forward that left.
@@ -26,6 +34,8 @@
 	attempt int
 	at      time.Time
 	zone    int
+	target  string // its id, where a keeper is connected
+	told    bool   // stands in the keeper's record already
 }
 
 // first returns the earliest forward that may have run.
@@ -47,6 +57,7 @@
 	ids     map[string]*entry
 	next    control.MessageID
 	open    int             // not ended
+	resends int             // of those, the keeper's
 	live    int64           // journal bytes of all
 	past    map[string]bool // ids of messages that are over...
 	expiry  []pastID        // ...until a time, in the order of it
@@ -92,15 +103,30 @@
 	t.next = max(t.next, e.num+1)
 	e.cost = takeCost(e.Message)
 	t.open++
+	if e.seq > 0 {
+		t.resends++
+	}
 	t.live += e.cost
 }
 
-// settle ends a message to which a notice is owed; its body is needed no more.
+// settle ends a message to which a notice is owed; its body is needed no more,
+// if no keeper gets it.
 func (t *table) settle(e *entry, n Notice) {
-	e.notice, e.Body = &n, nil
+	e.notice = &n
+	if n.Kept == nil || e.seq > 0 {
+		e.Body = nil
+	}
 	t.live += takeCost(e.Message) - e.cost
 	e.cost = takeCost(e.Message)
+	t.close(e)
+}
+
+// close counts a message as not open any more.
+func (t *table) close(e *entry) {
 	t.open--
+	if e.seq > 0 {
+		t.resends--
+	}
 }
 
 // drop forgets a message: nothing more is owed.
@@ -114,8 +140,19 @@
 	}
 	t.live -= e.cost
 	if e.notice == nil {
-		t.open--
+		t.close(e)
+	}
+}
+
+// idle tells whether nothing is owed to targets and the platform. What a keeper
+// is owed the journal keeps for the next start.
+func (t *table) idle() bool {
+	for _, e := range t.entries {
+		if e.notice == nil || e.seq == 0 && !e.told {
+			return false
+		}
 	}
+	return true
 }
 
 // ordered returns the entries in the order of their numbers.
