--- /dev/null
+++ b/cmd/cleathold/held.go
@@ -0,0 +1,513 @@
+package main
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"strings"
+	"syscall"
+	"text/tabwriter"
+	"time"
+
+	"cleathold/internal/admin"
+	"cleathold/internal/held"
+	"cleathold/internal/settings"
+)
+
+// The exit codes of the held commands, besides 0 and 1.
+const (
+	exitRefused     = 3 // some records were refused what was asked
+	exitUnreachable = 4 // no sender, or no store, to ask
+	exitNotFound    = 5
+)
+
+// An exit is an error with the code that the program ends with.
+type exit struct {
+	error
+	code int
+}
+
+func (e exit) ExitCode() int { return e.code }
+func (e exit) Unwrap() error { return e.error }
+
+// coded gives an error its exit code.
+func coded(err error) error {
+	switch {
+	case err == nil:
+		return nil
+	case errors.Is(err, held.ErrNotFound):
+		return exit{err, exitNotFound}
+	case errors.Is(err, admin.ErrUnreachable), errors.Is(err, held.ErrInUse), errors.Is(err, os.ErrNotExist):
+		return exit{err, exitUnreachable}
+	}
+	return err
+}
+
+type heldCmd struct {
+	Where  where         `embed:""`
+	List   heldListCmd   `cmd:"" help:"List held messages, a page at a time."`
+	Show   heldShowCmd   `cmd:"" help:"Show one record whole: its history, its body, and what was done with it."`
+	Resend heldResendCmd `cmd:"" help:"Order records to be sent again, by their numbers or by filter."`
+	Drop   heldDropCmd   `cmd:"" help:"End records for good."`
+	Export heldExportCmd `cmd:"" help:"Write records as JSON lines, bodies in base64."`
+	Import heldImportCmd `cmd:"" help:"Read JSON lines that export wrote. Each counts as one that may have run."`
+	Stats  heldStatsCmd  `cmd:"" help:"Count what is held."`
+	Audit  heldAuditCmd  `cmd:"" help:"Show who did what, the latest first."`
+}
+
+// where says whom to ask.
+type where struct {
+	Socket   string `help:"Admin socket of a running sender." type:"path"`
+	Folder   string `help:"Held folder of a stopped sender; to read only." type:"path"`
+	Settings string `help:"Settings script that names both: the socket is asked if a sender answers there, else the folder." env:"CLEATHOLD_SETTINGS" type:"path"`
+	JSON     bool   `help:"JSON instead of text." name:"json"`
+}
+
+// plane finds whom to ask.
+func (w *where) plane() (admin.Plane, error) {
+	socket, folder := w.Socket, w.Folder
+	if socket == "" && folder == "" {
+		if w.Settings == "" {
+			return nil, errors.New("name --socket, --folder or --settings: whom to ask")
+		}
+		s, err := settings.Load(w.Settings)
+		if err != nil {
+			return nil, err
+		}
+		if s.Admin != nil {
+			socket = s.Admin.Socket
+		}
+		if s.Held != nil {
+			folder = s.Held.Folder
+		}
+	}
+	if socket != "" {
+		p := admin.Dial(socket)
+		_, err := p.Audit(context.Background(), 1)
+		if err == nil || folder == "" || !errors.Is(err, admin.ErrUnreachable) {
+			return p, coded(err)
+		}
+	}
+	if folder == "" {
+		return nil, fmt.Errorf("%s names neither an admin socket nor a held folder", w.Settings)
+	}
+	p, err := admin.OpenFolder(folder)
+	return p, coded(err)
+}
+
+// ask runs something on the plane. Ctrl-C ends it between two pages.
+func (w *where) ask(f func(context.Context, admin.Plane) error) error {
+	p, err := w.plane()
+	if err != nil {
+		return err
+	}
+	defer p.Close()
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	return coded(f(ctx, p))
+}
+
+// filter is a filter as options.
+type filter struct {
+	Destination *int   `help:"Only this destination."`
+	Class       string `help:"Only this class."`
+	Tenant      string `help:"Only this tenant."`
+	Reason      string `help:"Only those that ended for this reason: expired, may-have-run, memory-passed, attempts-spent, rejected."`
+	State       string `help:"Only this state: held, ordered, out, delivered, dropped, superseded, over."`
+	Since       string `help:"Held at this time or later: RFC 3339, or a duration back from now (2h)."`
+	Before      string `help:"Held before this time."`
+}
+
+func (f *filter) filter() (held.Filter, error) {
+	out := held.Filter{Destination: f.Destination, Class: f.Class, Tenant: f.Tenant, Reason: f.Reason, State: held.State(f.State)}
+	var err error
+	for _, t := range []struct {
+		name, text string
+		to         *time.Time
+	}{{"--since", f.Since, &out.Since}, {"--before", f.Before, &out.Before}} {
+		if t.text == "" {
+			continue
+		}
+		if back, e := time.ParseDuration(t.text); e == nil {
+			*t.to = time.Now().Add(-back)
+		} else if *t.to, err = time.Parse(time.RFC3339, t.text); err != nil {
+			return out, fmt.Errorf("%s: %q is neither RFC 3339 nor a duration", t.name, t.text)
+		}
+	}
+	return out, nil
+}
+
+func writeJSON(out io.Writer, v any) error {
+	e := json.NewEncoder(out)
+	e.SetIndent("", "  ")
+	return e.Encode(v)
+}
+
+type heldListCmd struct {
+	filter
+	Limit int    `help:"Records at most." default:"100"`
+	After uint64 `help:"Go on after this number."`
+}
+
+func (c *heldListCmd) Run(out io.Writer, h *heldCmd) error {
+	f, err := c.filter.filter()
+	if err != nil {
+		return err
+	}
+	return h.Where.ask(func(ctx context.Context, p admin.Plane) error {
+		tab := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+		if !h.Where.JSON {
+			fmt.Fprintln(tab, "SEQ\tSTATE\tDEST\tCLASS\tTENANT\tREASON\tMAY HAVE RUN\tATTEMPTS\tBYTES\tHELD AT\tID")
+		}
+		next := c.After
+		for left := max(c.Limit, 1); left > 0; {
+			page, err := p.List(ctx, f, next, min(left, held.PageMost))
+			if err != nil {
+				return err
+			}
+			for _, r := range page.Records {
+				if h.Where.JSON {
+					json.NewEncoder(out).Encode(r)
+					continue
+				}
+				_, _, ran := r.Ran()
+				fmt.Fprintf(tab, "%d\t%s\t%d\t%s\t%s\t%s\t%t\t%d\t%d\t%s\t%s\n", r.Seq, r.State, r.Destination, r.Class, r.Tenant,
+					r.Reason, ran, r.Sends, r.Size, r.HeldAt.Format(time.RFC3339), r.ID)
+			}
+			left -= len(page.Records)
+			if next = page.Next; next == 0 {
+				break
+			}
+		}
+		tab.Flush()
+		if next > 0 && !h.Where.JSON {
+			fmt.Fprintf(out, "more: --after %d\n", next)
+		}
+		return nil
+	})
+}
+
+type heldShowCmd struct {
+	Seq uint64 `arg:"" help:"Number of the record."`
+}
+
+func (c *heldShowCmd) Run(out io.Writer, h *heldCmd) error {
+	return h.Where.ask(func(ctx context.Context, p admin.Plane) error {
+		l, err := p.Show(ctx, c.Seq)
+		if err != nil {
+			return err
+		}
+		if h.Where.JSON {
+			return writeJSON(out, l)
+		}
+		_, _, ran := l.Ran()
+		fmt.Fprintf(out, "record %d, %s\n  id %s  key %s\n  %s for destination %d, tenant %s, %d bytes\n  ended: %s; deadline %s; held %s\n  may have run: %t",
+			l.Seq, l.State, l.ID, l.Key, l.Class, l.Destination, l.Tenant, l.Size, l.Reason,
+			l.Deadline.Format(time.RFC3339Nano), l.HeldAt.Format(time.RFC3339Nano), ran)
+		if l.Doubt {
+			fmt.Fprint(out, " (its history is not whole)")
+		}
+		fmt.Fprintf(out, "\n  attempts: %d, resends: %d\n", l.Sends, l.Resends)
+		for _, a := range l.Attempts {
+			fmt.Fprintf(out, "    %s  target %s  %s  may have run: %t  resend %d\n", a.At.Format(time.RFC3339Nano), orDash(a.Target), a.Result, a.MayHaveRun, a.Resend)
+		}
+		for _, d := range l.Deeds {
+			fmt.Fprintf(out, "  %s  %s (%s)\n", d.At.Format(time.RFC3339Nano), d.What, d.By)
+		}
+		return nil
+	})
+}
+
+func orDash(s string) string {
+	if s == "" {
+		return "-"
+	}
+	return s
+}
+
+// acting is what resend and drop share.
+type acting struct {
+	filter
+	Seqs   []uint64 `arg:"" optional:"" help:"Numbers of records."`
+	All    bool     `help:"Mean all records, where no filter is given."`
+	DryRun bool     `help:"Only tell what would be done."`
+}
+
+// run runs an act, page by page.
+func (a *acting) run(out io.Writer, h *heldCmd, verb string, o admin.Order) error {
+	f, err := a.filter.filter()
+	switch {
+	case err != nil:
+		return err
+	case len(a.Seqs) > 0 && !f.Empty():
+		return errors.New("name numbers or a filter, not both")
+	case len(a.Seqs) == 0 && f.Empty() && !a.All:
+		return errors.New("name numbers, a filter, or --all")
+	}
+	o.DryRun = a.DryRun
+	return h.Where.ask(func(ctx context.Context, p admin.Plane) error {
+		total := held.Outcome{}
+		whys := map[string]int{}
+		note := func(got held.Outcome) {
+			total.Done += got.Done
+			for _, r := range got.Refused {
+				if len(total.Refused) < held.PageMost {
+					total.Refused = append(total.Refused, r)
+				}
+				whys[r.Why]++
+			}
+		}
+		for seqs := a.Seqs; len(seqs) > 0; {
+			o.Selection = held.Selection{Seqs: seqs[:min(len(seqs), held.PageMost)]}
+			seqs = seqs[len(o.Selection.Seqs):]
+			got, err := p.Act(ctx, verb, o)
+			if err != nil {
+				return err
+			}
+			note(got)
+		}
+		for next, pages := uint64(0), 0; len(a.Seqs) == 0; pages++ {
+			o.Selection = held.Selection{Filter: f, After: next, Most: held.PageMost}
+			got, err := p.Act(ctx, verb, o)
+			if err != nil {
+				return fmt.Errorf("after %d done: %w", total.Done, err)
+			}
+			note(got)
+			if next = got.Next; next == 0 {
+				break
+			}
+			if pages%4 == 3 {
+				fmt.Fprintf(os.Stderr, "%s: %d so far, at number %d\n", verb, total.Done, next)
+			}
+		}
+		refused := 0
+		for _, n := range whys {
+			refused += n
+		}
+		if h.Where.JSON {
+			if err := writeJSON(out, struct {
+				Done    int            `json:"done"`
+				Refused int            `json:"refused"`
+				Whys    map[string]int `json:"whys,omitempty"`
+				Records []held.Refused `json:"refused_records,omitempty"`
+				DryRun  bool           `json:"dry_run,omitempty"`
+			}{total.Done, refused, whys, total.Refused, a.DryRun}); err != nil {
+				return err
+			}
+		} else {
+			would := ""
+			if a.DryRun {
+				would = " (dry run: nothing was changed)"
+			}
+			fmt.Fprintf(out, "%s: %d done, %d refused%s\n", verb, total.Done, refused, would)
+			for _, r := range total.Refused[:min(len(total.Refused), 20)] {
+				fmt.Fprintf(out, "  %d: %s\n", r.Seq, r.Why)
+			}
+			if len(total.Refused) > 20 {
+				for why, n := range whys {
+					fmt.Fprintf(out, "  %d times: %s\n", n, why)
+				}
+			}
+		}
+		if refused > 0 {
+			return exit{fmt.Errorf("%d records were refused", refused), exitRefused}
+		}
+		return nil
+	})
+}
+
+type heldResendCmd struct {
+	acting
+	Within time.Duration `help:"Give up for now after this; the settings' time if not given."`
+}
+
+func (c *heldResendCmd) Run(out io.Writer, h *heldCmd) error {
+	return c.run(out, h, "resend", admin.Order{WithinS: c.Within.Seconds()})
+}
+
+type heldDropCmd struct{ acting }
+
+func (c *heldDropCmd) Run(out io.Writer, h *heldCmd) error {
+	return c.run(out, h, "drop", admin.Order{})
+}
+
+type heldExportCmd struct {
+	filter
+	Out string `help:"File to write; - is standard output." default:"-"`
+}
+
+func (c *heldExportCmd) Run(out io.Writer, h *heldCmd) (err error) {
+	f, err := c.filter.filter()
+	if err != nil {
+		return err
+	}
+	if c.Out != "-" {
+		file, err := os.OpenFile(c.Out, os.O_WRONLY|os.O_CREATE|os.O_EXCL, 0o600)
+		if err != nil {
+			return err
+		}
+		defer func() { err = errors.Join(err, file.Close()) }()
+		out = file
+	}
+	return h.Where.ask(func(ctx context.Context, p admin.Plane) error {
+		n := 0
+		for next := uint64(0); ; {
+			page, err := p.Export(ctx, f, next)
+			if err != nil {
+				return fmt.Errorf("after %d lines: %w", n, err)
+			}
+			w := bufio.NewWriter(out)
+			for _, l := range page.Lines {
+				json.NewEncoder(w).Encode(l)
+			}
+			if err := w.Flush(); err != nil {
+				return err
+			}
+			if n += len(page.Lines); n/1000 > (n-len(page.Lines))/1000 {
+				fmt.Fprintf(os.Stderr, "export: %d so far\n", n)
+			}
+			if next = page.Next; next == 0 {
+				return nil
+			}
+		}
+	})
+}
+
+type heldImportCmd struct {
+	File   string `arg:"" help:"JSON lines that export wrote; - is standard input."`
+	DryRun bool   `help:"Only tell what would be done."`
+}
+
+const lineMost = 1 << 20 // bytes of a line
+
+func (c *heldImportCmd) Run(out io.Writer, h *heldCmd) error {
+	in := io.Reader(os.Stdin)
+	if c.File != "-" {
+		f, err := os.Open(c.File)
+		if err != nil {
+			return err
+		}
+		defer f.Close()
+		in = f
+	}
+	return h.Where.ask(func(ctx context.Context, p admin.Plane) error {
+		done, refused, line := 0, 0, 0
+		refuse := func(at int, why string) {
+			if refused++; refused <= 20 && !h.Where.JSON {
+				fmt.Fprintf(out, "  line %d: %s\n", at, why)
+			}
+		}
+		var batch []held.Line
+		bytes := 0
+		flush := func() error {
+			if len(batch) == 0 {
+				return nil
+			}
+			got, err := p.Act(ctx, "import", admin.Order{Lines: batch, DryRun: c.DryRun})
+			if err != nil {
+				return fmt.Errorf("after %d records: %w", done, err)
+			}
+			done += got.Done
+			for _, r := range got.Refused {
+				refuse(line, fmt.Sprintf("record %d: %s", r.Seq, r.Why))
+			}
+			batch, bytes = batch[:0], 0
+			return nil
+		}
+		lines := bufio.NewScanner(in)
+		lines.Buffer(nil, lineMost)
+		for lines.Scan() {
+			line++
+			if strings.TrimSpace(lines.Text()) == "" {
+				continue
+			}
+			var l held.Line
+			if err := json.Unmarshal(lines.Bytes(), &l); err != nil {
+				refuse(line, err.Error())
+				continue
+			}
+			batch = append(batch, l)
+			if bytes += len(lines.Bytes()); len(batch) == admin.ImportMost || bytes > 4<<20 {
+				if err := flush(); err != nil {
+					return err
+				}
+			}
+		}
+		if err := lines.Err(); err != nil {
+			return fmt.Errorf("line %d: %w", line+1, err)
+		}
+		if err := flush(); err != nil {
+			return err
+		}
+		if h.Where.JSON {
+			writeJSON(out, map[string]int{"done": done, "refused": refused})
+		} else {
+			fmt.Fprintf(out, "import: %d done, %d refused\n", done, refused)
+		}
+		if refused > 0 {
+			return exit{fmt.Errorf("%d lines were refused", refused), exitRefused}
+		}
+		return nil
+	})
+}
+
+type heldStatsCmd struct{}
+
+func (c *heldStatsCmd) Run(out io.Writer, h *heldCmd) error {
+	return h.Where.ask(func(ctx context.Context, p admin.Plane) error {
+		s, err := p.Stats(ctx)
+		if err != nil {
+			return err
+		}
+		if h.Where.JSON {
+			return writeJSON(out, s)
+		}
+		fmt.Fprintf(out, "%d records, %d bytes in a file of %d; %d not yet told; evicted %d over bounds, %d too old\n",
+			s.Records, s.Bytes, s.File, s.Owed, s.Evicted, s.Aged)
+		if !s.Oldest.IsZero() {
+			fmt.Fprintf(out, "oldest open: %s\n", s.Oldest.Format(time.RFC3339))
+		}
+		for _, g := range []struct {
+			name string
+			list []held.Group
+		}{{"state", s.States}, {"reason", s.Reasons}, {"class", s.Classes}, {"tenant", s.Tenants}, {"destination", s.Dests}} {
+			for _, x := range g.list {
+				fmt.Fprintf(out, "  %-12s %-24s %d\n", g.name, x.Name, x.Records)
+			}
+		}
+		return nil
+	})
+}
+
+type heldAuditCmd struct {
+	Limit int `help:"Entries at most." default:"50"`
+}
+
+func (c *heldAuditCmd) Run(out io.Writer, h *heldCmd) error {
+	return h.Where.ask(func(ctx context.Context, p admin.Plane) error {
+		list, err := p.Audit(ctx, c.Limit)
+		if err != nil {
+			return err
+		}
+		if h.Where.JSON {
+			return writeJSON(out, list)
+		}
+		for _, a := range list {
+			fmt.Fprintf(out, "%s  %s  %s  done %d, refused %d", a.At.Format(time.RFC3339), a.By, a.Verb, a.Done, a.Refused)
+			if a.Filter != nil {
+				text, _ := json.Marshal(a.Filter)
+				fmt.Fprintf(out, "  filter %s", text)
+			}
+			if len(a.Records) > 0 {
+				fmt.Fprintf(out, "  records %v", a.Records[:min(len(a.Records), 10)])
+			}
+			fmt.Fprintln(out)
+		}
+		return nil
+	})
+}
--- a/cmd/cleathold/main.go
+++ b/cmd/cleathold/main.go
@@ -3,6 +3,7 @@
 package main
 
 import (
+	"errors"
 	"fmt"
 	"io"
 	"log/slog"
@@ -13,6 +14,7 @@
 	"github.com/alecthomas/kong"
 
 	"cleathold/internal/lifecycle"
+	"cleathold/internal/settings"
 	"cleathold/internal/state"
 )
 
@@ -20,23 +22,39 @@
 	Serve   serveCmd   `cmd:"" help:"Take in messages and deliver them until SIGTERM."`
 	Check   checkCmd   `cmd:"" help:"Read a configuration and say what it holds, or what is wrong with it."`
 	Pending pendingCmd `cmd:"" help:"List the messages that a state folder still owes something for."`
+	Held    heldCmd    `cmd:"" help:"Look into held messages, send them again or drop them."`
 	Version versionCmd `cmd:"" help:"Print the version."`
 }
 
 type serveCmd struct {
-	Config string `help:"Configuration file." env:"LB_CONFIG" required:"" type:"path"`
+	Config   string `help:"Configuration file." env:"LB_CONFIG" required:"" type:"path"`
+	Settings string `help:"Starlark script with settings of our own: held messages, the admin plane. Without it both are off." env:"CLEATHOLD_SETTINGS" type:"path"`
 }
 
 func (s *serveCmd) Run(log *slog.Logger) error {
-	return lifecycle.Serve(func() (lifecycle.Config, error) { return lifecycle.Load(s.Config, os.Getenv) }, log)
+	return lifecycle.Serve(func() (lifecycle.Config, error) { return lifecycle.Load(s.Config, s.Settings, os.Getenv) }, log)
 }
 
 type checkCmd struct {
-	Config string `arg:"" help:"Configuration file." type:"existingfile"`
+	Config   string `arg:"" optional:"" help:"Configuration file." type:"existingfile"`
+	Settings string `help:"Starlark script with settings of our own." type:"existingfile"`
 }
 
 func (k *checkCmd) Run(out io.Writer) error {
-	c, err := lifecycle.Load(k.Config, os.Getenv)
+	if k.Config == "" && k.Settings == "" {
+		return errors.New("name a configuration file, or a script by --settings")
+	}
+	if k.Settings != "" {
+		s, err := settings.Load(k.Settings)
+		if err != nil {
+			return err
+		}
+		fmt.Fprintln(out, s.Summary())
+	}
+	if k.Config == "" {
+		return nil
+	}
+	c, err := lifecycle.Load(k.Config, "", os.Getenv)
 	if err != nil {
 		return err
 	}
--- /dev/null
+++ b/internal/admin/server.go
@@ -0,0 +1,335 @@
+// Package admin is the admin plane: HTTP on a Unix socket, and its client. What
+// it offers stands in Plane; a stopped sender's folder offers the part of it that
+// only reads.
+package admin
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/url"
+	"os"
+	"strconv"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"cleathold/internal/held"
+)
+
+const (
+	bodyMost   = 8 << 20          // bytes of a request: an import's page
+	actSpan    = 30 * time.Second // an act may wait so long for the store
+	headSpan   = 2 * time.Second
+	idleSpan   = 30 * time.Second
+	callsMost  = 4 // requests at once; each may hold a page in memory
+	ImportMost = 64
+)
+
+// Keeper is what the plane works on.
+type Keeper interface {
+	View(func(*held.Tx) error) error
+	Resend(ctx context.Context, by string, sel held.Selection, within time.Duration, dry bool) (held.Outcome, error)
+	Drop(ctx context.Context, by string, sel held.Selection, dry bool) (held.Outcome, error)
+	Import(ctx context.Context, by string, lines []held.Line, dry bool) (held.Outcome, error)
+}
+
+// Order is the body of an act.
+type Order struct {
+	Selection held.Selection `json:"selection,omitzero"`
+	Lines     []held.Line    `json:"lines,omitempty"`
+	WithinS   float64        `json:"within_s,omitempty"`
+	DryRun    bool           `json:"dry_run,omitempty"`
+}
+
+// Page is a page of records, or of lines with their bodies.
+type Page struct {
+	Records []held.Record `json:"records,omitempty"`
+	Lines   []held.Line   `json:"lines,omitempty"`
+	Next    uint64        `json:"next,omitempty"`
+}
+
+// Server serves the plane until it is closed.
+type Server struct {
+	path   string
+	keeper Keeper
+	log    *slog.Logger
+	sock   *net.UnixListener
+	http   *http.Server
+	places chan struct{}
+}
+
+type peerKey struct{}
+
+// Listen binds the socket, for its owner alone. One that a dead process left is replaced.
+func Listen(path string, k Keeper, log *slog.Logger) (*Server, error) {
+	if c, err := net.Dial("unix", path); err == nil {
+		c.Close()
+		return nil, fmt.Errorf("admin: %s is in use by another process", path)
+	}
+	// Under another name until its mode is set.
+	fresh := path + ".new"
+	os.Remove(fresh)
+	sock, err := net.ListenUnix("unix", &net.UnixAddr{Name: fresh, Net: "unix"})
+	if err != nil {
+		return nil, fmt.Errorf("admin: %w", err)
+	}
+	sock.SetUnlinkOnClose(false)
+	if err = os.Chmod(fresh, 0o600); err == nil {
+		err = os.Rename(fresh, path)
+	}
+	if err != nil {
+		sock.Close()
+		os.Remove(fresh)
+		return nil, fmt.Errorf("admin: %w", err)
+	}
+	s := &Server{path: path, keeper: k, log: log, sock: sock, places: make(chan struct{}, callsMost)}
+	mux := http.NewServeMux()
+	for pattern, h := range map[string]func(r *http.Request) (any, error){
+		"GET /held/list": s.list, "GET /held/export": s.export, "GET /held/show/{seq}": s.show, "GET /held/stats": s.stats,
+		"GET /held/audit": s.audit, "POST /held/resend": s.resend, "POST /held/drop": s.drop, "POST /held/import": s.imports,
+	} {
+		mux.HandleFunc(pattern, s.handle(h))
+	}
+	s.http = &http.Server{
+		Handler: mux, ReadHeaderTimeout: headSpan, ReadTimeout: actSpan, WriteTimeout: 2 * actSpan, IdleTimeout: idleSpan,
+		MaxHeaderBytes: 16 << 10, ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelWarn),
+		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
+			return context.WithValue(ctx, peerKey{}, peer(c))
+		},
+	}
+	return s, nil
+}
+
+// peer is the user at the other end of the socket; -1 if the kernel won't tell.
+func peer(c net.Conn) int {
+	u, ok := c.(*net.UnixConn)
+	if !ok {
+		return -1
+	}
+	raw, err := u.SyscallConn()
+	if err != nil {
+		return -1
+	}
+	uid := -1
+	raw.Control(func(fd uintptr) {
+		if cred, err := unix.GetsockoptUcred(int(fd), unix.SOL_SOCKET, unix.SO_PEERCRED); err == nil {
+			uid = int(cred.Uid)
+		}
+	})
+	return uid
+}
+
+// Serve serves until Close.
+func (s *Server) Serve() {
+	if err := s.http.Serve(s.sock); !errors.Is(err, http.ErrServerClosed) {
+		s.log.Error("admin plane ended", "err", err)
+	}
+}
+
+// Close ends the plane at once.
+func (s *Server) Close() {
+	s.http.Close()
+	os.Remove(s.path)
+}
+
+// A fault is an error with its status.
+type fault struct {
+	status int
+	text   string
+}
+
+func (f *fault) Error() string { return f.text }
+
+// handle runs a request and writes what came of it as JSON.
+func (s *Server) handle(h func(*http.Request) (any, error)) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		status := http.StatusOK
+		v, err := func() (any, error) {
+			if uid := r.Context().Value(peerKey{}); uid != os.Geteuid() && uid != 0 {
+				return nil, &fault{http.StatusForbidden, "only the sender's own user may ask"}
+			}
+			select {
+			case s.places <- struct{}{}:
+				defer func() { <-s.places }()
+			case <-r.Context().Done():
+				return nil, r.Context().Err()
+			}
+			r.Body = http.MaxBytesReader(w, r.Body, bodyMost)
+			ctx, cancel := context.WithDeadline(r.Context(), time.Now().Add(actSpan))
+			defer cancel()
+			return h(r.WithContext(ctx))
+		}()
+		var f *fault
+		switch {
+		case err == nil:
+		case errors.As(err, &f):
+			status = f.status
+		case errors.Is(err, held.ErrNotFound):
+			status = http.StatusNotFound
+		case errors.Is(err, held.ErrNoStore), errors.Is(err, context.DeadlineExceeded):
+			status = http.StatusServiceUnavailable
+		default:
+			status = http.StatusInternalServerError
+		}
+		if err != nil {
+			v = map[string]string{"error": err.Error()}
+		}
+		w.Header().Set("Content-Type", "application/json")
+		w.WriteHeader(status)
+		json.NewEncoder(w).Encode(v)
+	}
+}
+
+// by names who asks, for the audit trail.
+func by(r *http.Request) string { return fmt.Sprintf("uid %d", r.Context().Value(peerKey{})) }
+
+// query is a filter as it stands in a URL, and the page.
+func query(f held.Filter, after uint64, most int) url.Values {
+	v := url.Values{}
+	set := func(name, value string) {
+		if value != "" {
+			v.Set(name, value)
+		}
+	}
+	if f.Destination != nil {
+		set("destination", strconv.Itoa(*f.Destination))
+	}
+	set("class", f.Class)
+	set("tenant", f.Tenant)
+	set("reason", f.Reason)
+	set("state", string(f.State))
+	if !f.Since.IsZero() {
+		set("since", f.Since.Format(time.RFC3339Nano))
+	}
+	if !f.Before.IsZero() {
+		set("before", f.Before.Format(time.RFC3339Nano))
+	}
+	set("after", strconv.FormatUint(after, 10))
+	set("most", strconv.Itoa(most))
+	return v
+}
+
+func parseQuery(v url.Values) (f held.Filter, after uint64, most int, err error) {
+	f = held.Filter{Class: v.Get("class"), Tenant: v.Get("tenant"), Reason: v.Get("reason"), State: held.State(v.Get("state"))}
+	read := func(name string, take func(string) error) {
+		if text := v.Get(name); text != "" && err == nil {
+			if e := take(text); e != nil {
+				err = &fault{http.StatusBadRequest, name + ": " + e.Error()}
+			}
+		}
+	}
+	read("destination", func(s string) error {
+		n, err := strconv.Atoi(s)
+		f.Destination = &n
+		return err
+	})
+	read("since", func(s string) (err error) { f.Since, err = time.Parse(time.RFC3339Nano, s); return })
+	read("before", func(s string) (err error) { f.Before, err = time.Parse(time.RFC3339Nano, s); return })
+	read("after", func(s string) (err error) { after, err = strconv.ParseUint(s, 10, 64); return })
+	read("most", func(s string) (err error) { most, err = strconv.Atoi(s); return })
+	return f, after, min(max(most, 1), held.PageMost), err
+}
+
+func (s *Server) list(r *http.Request) (any, error) {
+	return s.page(r, func(t *held.Tx, f held.Filter, after uint64, most int) (p Page, err error) {
+		p.Records, p.Next, err = t.List(f, after, most)
+		return
+	})
+}
+
+func (s *Server) export(r *http.Request) (any, error) {
+	return s.page(r, func(t *held.Tx, f held.Filter, after uint64, most int) (p Page, err error) {
+		p.Lines, p.Next, err = t.Export(f, after, min(most, ImportMost))
+		return
+	})
+}
+
+func (s *Server) page(r *http.Request, get func(*held.Tx, held.Filter, uint64, int) (Page, error)) (any, error) {
+	f, after, most, err := parseQuery(r.URL.Query())
+	if err != nil {
+		return nil, err
+	}
+	var p Page
+	err = s.keeper.View(func(t *held.Tx) (err error) { p, err = get(t, f, after, most); return })
+	return p, err
+}
+
+func (s *Server) show(r *http.Request) (any, error) {
+	seq, err := strconv.ParseUint(r.PathValue("seq"), 10, 64)
+	if err != nil {
+		return nil, &fault{http.StatusBadRequest, "a number is wanted"}
+	}
+	var line held.Line
+	err = s.keeper.View(func(t *held.Tx) (err error) { line, err = show(t, seq); return })
+	return line, err
+}
+
+// show is one record whole.
+func show(t *held.Tx, seq uint64) (held.Line, error) {
+	rec, err := t.Get(seq)
+	if err != nil {
+		return held.Line{}, err
+	}
+	var body []byte
+	if !rec.NoBody {
+		if body, err = t.Body(seq); err != nil {
+			return held.Line{}, err
+		}
+	}
+	return held.NewLine(rec, body), nil
+}
+
+func (s *Server) stats(*http.Request) (any, error) {
+	var v held.Stats
+	err := s.keeper.View(func(t *held.Tx) (err error) { v, err = t.Stats(); return })
+	return v, err
+}
+
+func (s *Server) audit(r *http.Request) (any, error) {
+	most, _ := strconv.Atoi(r.URL.Query().Get("most"))
+	var list []held.Act
+	err := s.keeper.View(func(t *held.Tx) (err error) { list, err = t.Audit(min(max(most, 1), held.PageMost)); return })
+	return list, err
+}
+
+// order reads the body of an act.
+func order(r *http.Request) (o Order, err error) {
+	d := json.NewDecoder(r.Body)
+	d.DisallowUnknownFields()
+	if err := d.Decode(&o); err != nil {
+		return o, &fault{http.StatusBadRequest, "order: " + err.Error()}
+	}
+	if o.WithinS < 0 || o.WithinS > 365*86400 {
+		return o, &fault{http.StatusBadRequest, "within_s out of range"}
+	}
+	return o, nil
+}
+
+func (s *Server) resend(r *http.Request) (any, error) {
+	o, err := order(r)
+	if err != nil {
+		return nil, err
+	}
+	return s.keeper.Resend(r.Context(), by(r), o.Selection, time.Duration(o.WithinS*float64(time.Second)), o.DryRun)
+}
+
+func (s *Server) drop(r *http.Request) (any, error) {
+	o, err := order(r)
+	if err != nil {
+		return nil, err
+	}
+	return s.keeper.Drop(r.Context(), by(r), o.Selection, o.DryRun)
+}
+
+func (s *Server) imports(r *http.Request) (any, error) {
+	o, err := order(r)
+	if err != nil {
+		return nil, err
+	}
+	return s.keeper.Import(r.Context(), by(r), o.Lines, o.DryRun)
+}
--- /dev/null
+++ b/internal/held/store_test.go
@@ -0,0 +1,409 @@
+package held
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"cleathold/control"
+)
+
+var quiet = slog.New(slog.NewTextHandler(io.Discard, nil))
+
+var terms = Terms{SendCap: 12, Classes: map[string]control.Class{
+	"safe": {Effect: control.Safe}, "keyed": {Effect: control.Keyed, Memory: 12 * time.Second}, "unsafe": {Effect: control.Unsafe},
+}}
+
+func openStore(t testing.TB, dir string) *Store {
+	t.Helper()
+	s, err := Open(dir, quiet)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.db.NoSync = true // the disk's time is not what is tested
+	t.Cleanup(func() { s.Close() })
+	return s
+}
+
+func update(t testing.TB, s *Store, f func(*Tx) error) {
+	t.Helper()
+	if err := s.Update(f); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// fill adds records of three classes, four destinations and three tenants.
+func fill(t testing.TB, s *Store, n int) {
+	t.Helper()
+	start := time.Now().Add(-time.Hour)
+	for from := 0; from < n; from += 1000 {
+		update(t, s, func(tx *Tx) error {
+			for i := from; i < min(n, from+1000); i++ {
+				r := Record{
+					State: Held, ID: fmt.Sprint("id-", i), Key: fmt.Sprint("key-", i), Class: []string{"safe", "keyed", "unsafe"}[i%3],
+					Tenant: fmt.Sprint("t", i%3), Destination: i%4 - 1, Reason: "expired", HeldAt: start.Add(time.Duration(i) * time.Millisecond),
+					Attempts: []Attempt{{Target: "s", At: start, Result: "refused"}}, Sends: 1, Size: 100,
+				}
+				if _, err := tx.Add(&r, []byte(strings.Repeat("x", 100))); err != nil {
+					return err
+				}
+			}
+			return nil
+		})
+	}
+}
+
+func all(t testing.TB, s *Store, f Filter) (list []Record) {
+	t.Helper()
+	for next := uint64(0); ; {
+		err := s.View(func(tx *Tx) error {
+			page, n, err := tx.List(f, next, 7)
+			list, next = append(list, page...), n
+			return err
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if next == 0 {
+			return list
+		}
+	}
+}
+
+func TestFilters(t *testing.T) {
+	s := openStore(t, t.TempDir())
+	fill(t, s, 120)
+	dest := -1
+	start := all(t, s, Filter{})[0].HeldAt
+	for _, c := range []struct {
+		f    Filter
+		want int
+	}{
+		{Filter{}, 120}, {Filter{Destination: &dest}, 30}, {Filter{Class: "keyed"}, 40}, {Filter{Tenant: "t2"}, 40}, {Filter{Tenant: "t"}, 0},
+		{Filter{Reason: "expired", State: Held}, 120}, {Filter{State: Out}, 0}, {Filter{Destination: &dest, Class: "unsafe"}, 10},
+		{Filter{Since: start.Add(100 * time.Millisecond)}, 20}, {Filter{Before: start.Add(20 * time.Millisecond)}, 20},
+		{Filter{Since: start.Add(time.Hour)}, 0},
+	} {
+		if got := all(t, s, c.f); len(got) != c.want || !slices.IsSortedFunc(got, func(a, b Record) int { return int(a.Seq) - int(b.Seq) }) {
+			t.Errorf("%+v: %d, want %d", c.f, len(got), c.want)
+		}
+	}
+}
+
+// What the class allows, and what is not known counts as may have run.
+func TestEligible(t *testing.T) {
+	now := time.Now()
+	ran := func(ago time.Duration) []Attempt {
+		return []Attempt{{At: now.Add(-time.Hour), Result: "refused"}, {At: now.Add(-ago), Result: "reset", MayHaveRun: true}}
+	}
+	for _, c := range []struct {
+		name string
+		r    Record
+		back bool
+		want string
+	}{
+		{"safe that ran", Record{Class: "safe", Attempts: ran(time.Hour)}, false, ""},
+		{"unsafe that never ran", Record{Class: "unsafe", Attempts: []Attempt{{Result: "refused"}}}, false, ""},
+		{"unsafe that may have run", Record{Class: "unsafe", Attempts: ran(time.Second)}, false, "must never take effect twice"},
+		{"unsafe in doubt", Record{Class: "unsafe", Doubt: true}, false, "not whole"},
+		{"keyed within the span", Record{Class: "keyed", Attempts: ran(5 * time.Second)}, false, ""},
+		{"keyed near its end", Record{Class: "keyed", Attempts: ran(9 * time.Second)}, false, "remembers its key for"},
+		{"keyed beyond", Record{Class: "keyed", Attempts: ran(time.Minute)}, false, "remembers its key for"},
+		{"keyed, the first counts", Record{Class: "keyed", Attempts: append(ran(time.Minute), ran(0)...)}, false, "remembers"},
+		{"keyed at an unknown time", Record{Class: "keyed", Attempts: []Attempt{{MayHaveRun: true}}}, false, "not known"},
+		{"keyed in doubt", Record{Class: "keyed", Attempts: ran(time.Second), Doubt: true}, false, "not known"},
+		{"keyed, the clock went back", Record{Class: "keyed", Attempts: ran(time.Second)}, true, "clock"},
+		{"safe, the clock went back", Record{Class: "safe", Attempts: ran(time.Second)}, true, ""},
+		{"out", Record{Class: "safe", State: Out}, false, "being sent"},
+		{"ended", Record{Class: "safe", State: Dropped}, false, "ended"},
+		{"no body", Record{Class: "safe", NoBody: true}, false, "body"},
+		{"attempts", Record{Class: "safe", Sends: 12}, false, "12 attempts"},
+		{"class", Record{Class: "what"}, false, "class"},
+	} {
+		if c.r.State == "" {
+			c.r.State = Held
+		}
+		why := terms.Eligible(&c.r, now, !c.back)
+		if (why == nil) != (c.want == "") || why != nil && !strings.Contains(why.Why, c.want) {
+			t.Errorf("%s: %v, want %q", c.name, why, c.want)
+		}
+	}
+	r := Record{} // a history too long for its record is in doubt, unless that is known to it
+	for range attemptsMost + 1 {
+		r.add([]Attempt{{At: now, Result: "refused"}})
+	}
+	if r.Doubt {
+		t.Error("in doubt without cause")
+	}
+	if r.add([]Attempt{{At: now, MayHaveRun: true}}); !r.Doubt {
+		t.Error("an attempt that may have run is lost")
+	}
+}
+
+// Over its bounds a store gives up ended records first, then those held longest,
+// and never one that is out or that the journal may bring again.
+func TestEviction(t *testing.T) {
+	s := openStore(t, t.TempDir())
+	fill(t, s, 100)
+	now := time.Now()
+	update(t, s, func(tx *Tx) error {
+		for seq := uint64(91); seq <= 100; seq++ {
+			if err := tx.change(seq, func(r *Record) error { r.end(now.Add(-time.Minute), Delivered); return nil }); err != nil {
+				return err
+			}
+		}
+		tx.change(1, func(r *Record) error { r.State = Out; return nil })
+		return tx.owe("id-1") // number 2
+	})
+	evict := func(b Bounds) (gone Evicted) {
+		update(t, s, func(tx *Tx) (err error) { gone, err = tx.evict(b, now); return })
+		return gone
+	}
+	wide := Bounds{Bytes: 1e9, Records: 1000, Age: 24 * time.Hour, KeepEnded: time.Hour}
+	if got := evict(wide); got != (Evicted{}) {
+		t.Errorf("within bounds: %+v", got)
+	}
+	b := wide
+	b.Records = 85
+	if got := evict(b); got != (Evicted{Ended: 10, Open: 5}) {
+		t.Errorf("records: %+v", got)
+	}
+	list := all(t, s, Filter{})
+	if len(list) != 85 || list[0].Seq != 1 || list[1].Seq != 2 || list[2].Seq != 8 {
+		t.Errorf("left: %d, %d %d %d", len(list), list[0].Seq, list[1].Seq, list[2].Seq)
+	}
+	b = wide
+	s.View(func(tx *Tx) error { b.Bytes = int64(tx.counter(metaBytes)) / 2; return nil })
+	if got := evict(b); got.Open < 40 || got.Open > 45 {
+		t.Errorf("bytes: %+v", got)
+	}
+	b = wide
+	b.Age = time.Minute
+	if evict(b); len(all(t, s, Filter{})) != 2 || s.Count(-1)+s.Count(0) != 2 {
+		t.Errorf("too old: %+v, counts %v", all(t, s, Filter{}), s.counts)
+	}
+}
+
+// A message that comes twice is in the store once, also after it was dropped.
+func TestSecondArrival(t *testing.T) {
+	s := openStore(t, t.TempDir())
+	arrive := func() (added bool) {
+		update(t, s, func(tx *Tx) (err error) {
+			r := Record{State: Held, ID: "a", Class: "safe"}
+			if added, err = tx.Add(&r, []byte("x")); err == nil && added {
+				err = tx.owe("a")
+			}
+			return err
+		})
+		return added
+	}
+	if !arrive() || arrive() {
+		t.Error("the second arrival counts")
+	}
+	update(t, s, func(tx *Tx) error {
+		r, _ := tx.Get(1)
+		return tx.remove(&r)
+	})
+	if arrive() {
+		t.Error("it came back after it was removed, while the journal had it")
+	}
+	update(t, s, func(tx *Tx) error { return tx.settle("a") })
+	if !arrive() {
+		t.Error("another message of that id is not taken")
+	}
+}
+
+func TestOneWriter(t *testing.T) {
+	dir := t.TempDir()
+	s := openStore(t, dir)
+	if _, err := OpenReading(dir); !errors.Is(err, ErrInUse) || !strings.Contains(err.Error(), fmt.Sprint(os.Getpid())) {
+		t.Errorf("a reader beside a writer: %v", err)
+	}
+	s.Close()
+	r, err := OpenReading(dir)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := r.Close(); err != nil {
+		t.Error(err)
+	}
+}
+
+// Wherever a bit flips, or the file is cut, the store opens; of what it held
+// nothing comes back as sendable that was sent.
+func TestDamage(t *testing.T) {
+	dir := t.TempDir()
+	s := openStore(t, dir)
+	fill(t, s, 200)
+	update(t, s, func(tx *Tx) error { // number 3 and 6 are unsafe: sent, and dropped
+		if err := tx.change(3, func(r *Record) error { r.State = Out; return nil }); err != nil {
+			return err
+		}
+		return tx.change(6, func(r *Record) error { r.end(time.Now(), Dropped); return nil })
+	})
+	s.Close()
+	whole, err := os.ReadFile(filepath.Join(dir, fileName))
+	if err != nil {
+		t.Fatal(err)
+	}
+	try := func(name string, data []byte) (kept int) {
+		dir := t.TempDir()
+		if err := os.WriteFile(filepath.Join(dir, fileName), data, 0o600); err != nil {
+			t.Fatal(err)
+		}
+		s, err := Open(dir, quiet)
+		if err != nil {
+			t.Fatalf("%s: %v", name, err)
+		}
+		defer s.Close()
+		err = s.View(func(tx *Tx) error {
+			list, _, err := tx.List(Filter{}, 0, 1000)
+			kept = len(list)
+			for _, r := range list {
+				if (r.Seq == 3 || r.Seq == 6) && terms.Eligible(&r, time.Now(), true) == nil {
+					return fmt.Errorf("number %d may be sent again: %+v", r.Seq, r)
+				}
+			}
+			return err
+		})
+		if errors.Is(err, ErrDamaged) { // seen at work: then it is taken over
+			s.Close()
+			if s, err = reopen(dir, err, quiet); err != nil {
+				t.Fatalf("%s: at work: %v", name, err)
+			}
+			kept = len(all(t, s, Filter{}))
+		}
+		if err != nil {
+			t.Errorf("%s: %v", name, err)
+		}
+		return kept
+	}
+	step := len(whole)/80 | 1
+	for at := 0; at < len(whole); at += step {
+		data := slices.Clone(whole)
+		data[at] ^= 1 << (at % 8)
+		if kept := try(fmt.Sprintf("bit flipped at %d", at), data); kept < 190 {
+			t.Errorf("flipped at %d: %d of 200 kept", at, kept)
+		}
+	}
+	for at := 0; at < len(whole); at += 5 * step {
+		try(fmt.Sprintf("cut at %d", at), whole[:at])
+	}
+	zeroed := slices.Clone(whole)
+	clear(zeroed[:8192]) // both metas: only the raw file tells
+	if kept := try("no metas", zeroed); kept < 199 {
+		t.Errorf("no metas: %d of 200 kept", kept)
+	}
+}
+
+// A recovery that is cut short starts again, or stands.
+func TestRecoveryCutShort(t *testing.T) {
+	dir := t.TempDir()
+	path := filepath.Join(dir, fileName)
+	s := openStore(t, dir)
+	fill(t, s, 10)
+	s.Close()
+	os.WriteFile(path+freshEnding, []byte("half"), 0o600)
+	s = openStore(t, dir)
+	if n := len(all(t, s, Filter{})); n != 10 {
+		t.Errorf("half a new file: %d", n)
+	}
+	s.Close()
+	os.Rename(path, path+freshEnding) // the old one was put aside already
+	if s = openStore(t, dir); len(all(t, s, Filter{})) != 10 {
+		t.Error("the new file was not taken")
+	}
+}
+
+// The indexes follow from the records, whatever is done with them.
+func TestIndexes(t *testing.T) {
+	s := openStore(t, t.TempDir())
+	rapid.Check(t, func(rt *rapid.T) {
+		update(t, s, func(tx *Tx) error {
+			for _, name := range allBuckets {
+				tx.DeleteBucket(name)
+			}
+			return prepare(tx.Tx)
+		})
+		s.counts, s.keys = map[int]int{}, map[uint64]int32{}
+		model := map[uint64]State{}
+		for i := range rapid.IntRange(1, 40).Draw(rt, "steps") {
+			seq := uint64(rapid.IntRange(1, 10).Draw(rt, "seq"))
+			what := rapid.IntRange(0, 5).Draw(rt, "what")
+			update(t, s, func(tx *Tx) error {
+				_, known := model[seq]
+				now := time.UnixMicro(int64(i))
+				switch {
+				case what == 0:
+					r := Record{State: Held, ID: fmt.Sprint("i", i), Key: fmt.Sprint("k", i%3), Class: "safe", Destination: i % 2, HeldAt: now}
+					_, err := tx.Add(&r, []byte("x"))
+					model[r.Seq] = Held
+					return err
+				case !known:
+					return nil
+				case what == 1:
+					delete(model, seq)
+					r, err := tx.Get(seq)
+					return errors.Join(err, tx.remove(&r))
+				case model[seq].Ended():
+					return nil
+				}
+				return tx.change(seq, func(r *Record) error {
+					switch what {
+					case 2:
+						r.order(now, now.Add(time.Hour))
+						r.Ready = i%2 == 0
+					case 3:
+						r.State, r.Ready = Out, false
+					case 4:
+						r.rest(now)
+					case 5:
+						r.end(now, Delivered)
+					}
+					model[seq] = r.State
+					return nil
+				})
+			})
+		}
+		s.View(func(tx *Tx) error {
+			want := map[string]int{}
+			open := 0
+			for seq, state := range model {
+				r, err := tx.Get(seq)
+				if err != nil || r.State != state {
+					rt.Fatalf("number %d: %v, %s, want %s", seq, err, r.State, state)
+				}
+				for _, x := range slots(&r) {
+					want[string(x.bucket)]++
+					if got := tx.Bucket(x.bucket).Get(x.key); got == nil || string(got) != string(x.value) {
+						rt.Fatalf("number %d is not in %s", seq, x.bucket)
+					}
+				}
+				if _, err := tx.Body(seq); (err == nil) == state.Ended() {
+					rt.Fatalf("number %d, %s: body: %v", seq, state, err)
+				}
+				if !state.Ended() {
+					open++
+				}
+			}
+			for _, b := range indexedBuckets {
+				if n := tx.Bucket(b).Stats().KeyN; n != want[string(b)] {
+					rt.Fatalf("%s has %d entries, want %d", b, n, want[string(b)])
+				}
+			}
+			if n := s.Count(0) + s.Count(1); n != open || tx.counter(metaCount) != uint64(len(model)) {
+				rt.Fatalf("%d open counted, %d are; %d records counted, %d are", n, open, tx.counter(metaCount), len(model))
+			}
+			return nil
+		})
+	})
+}
--- a/internal/lifecycle/config.go
+++ b/internal/lifecycle/config.go
@@ -12,6 +12,7 @@
 
 	"cleathold/control"
 	"cleathold/internal/protocol"
+	"cleathold/internal/settings"
 	"cleathold/internal/state"
 	"cleathold/internal/wire"
 )
@@ -23,6 +24,7 @@
 	Settings                       control.Settings
 	Names                          protocol.Names
 	Known                          state.News
+	Ours                           *settings.Settings // nil: no script was named
 }
 
 // Limits are what the machine gives.
@@ -43,12 +45,28 @@
 // LB_STATE go before what stands in it. LB_DISCOVERY only fills its place where
 // the file names none: the file can be replaced under a process that runs, its
 // environment can't.
-func Load(path string, env func(string) string) (Config, error) {
+// A script with settings of our own is read too, if one is named.
+func Load(path, script string, env func(string) string) (Config, error) {
 	text, err := os.ReadFile(path)
 	if err != nil {
 		return Config{}, fmt.Errorf("configuration: %w", err)
 	}
-	return Parse(text, env)
+	c, err := Parse(text, env)
+	if err == nil && script != "" {
+		c.Ours, err = settings.Load(script)
+	}
+	return c, err
+}
+
+// wordsOf lists the names that were numbered.
+func wordsOf(numbers map[string]int) []string {
+	list := make([]string, len(numbers))
+	for name, i := range numbers {
+		if i < len(list) {
+			list[i] = name
+		}
+	}
+	return list
 }
 
 // Parse reads a configuration.
--- a/internal/lifecycle/serve.go
+++ b/internal/lifecycle/serve.go
@@ -14,7 +14,10 @@
 	"syscall"
 	"time"
 
+	"cleathold/internal/admin"
+	"cleathold/internal/held"
 	"cleathold/internal/protocol"
+	"cleathold/internal/settings"
 	"cleathold/internal/state"
 )
 
@@ -24,6 +27,7 @@
 	acceptSpan = 500 * time.Millisecond // new messages are still taken
 	launchSpan = 2 * time.Second        // new forwards are still made
 	finishSpan = 3300 * time.Millisecond
+	leaveSpan  = 3400 * time.Millisecond
 	idleCheck  = 20 * time.Millisecond
 )
 
@@ -55,9 +59,12 @@
 		return err
 	}
 	bound(c.Limits)
-	loop, err := state.NewLoop(state.Setup{
-		Settings: c.Settings, Known: c.Known, Dir: c.State, DiskBytes: c.Limits.DiskBytes, Log: log,
-	})
+	setup := state.Setup{Settings: c.Settings, Known: c.Known, Dir: c.State, DiskBytes: c.Limits.DiskBytes, Log: log}
+	keeper := newKeeper(c, log)
+	if keeper != nil {
+		setup.Keeper = keeper
+	}
+	loop, err := state.NewLoop(setup)
 	if err != nil {
 		return err
 	}
@@ -70,8 +77,24 @@
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
+	plane, err := openPlane(c, keeper, log)
+	if err != nil {
+		listener.Close(time.Now())
+		return err
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	var wg sync.WaitGroup
+	kept := make(chan struct{}) // closed once the keeper has ended
+	if keeper == nil {
+		close(kept)
+	} else {
+		keeper.Connect(loop)
+		listener.Ask(keeper)
+		go func() { defer close(kept); keeper.Run(ctx) }()
+	}
+	if plane != nil {
+		wg.Go(plane.Serve)
+	}
 	for _, run := range []func(context.Context){loop.Run, sender.Run, discovery.Run, notices.Run} {
 		wg.Go(func() { run(ctx) })
 	}
@@ -81,13 +104,25 @@
 		select {
 		case <-reload:
 			c = renew(c, load, discovery, notices, log)
+			if keeper != nil && c.Ours != nil {
+				keeper.Reload(c.Ours)
+			}
 		case <-stop:
 			serving = false
 		}
 	}
-	wind(loop, listener, time.Now())
+	told := time.Now()
+	wind(loop, listener, told)
 	cancel()
+	if plane != nil {
+		plane.Close()
+	}
 	wg.Wait()
+	select {
+	case <-kept:
+	case <-time.After(time.Until(told.Add(leaveSpan))): // a disk that hangs must not
+		log.Warn("the held store did not close in time; the journal has what it lacks")
+	}
 	log.Info("stopped", "name", c.Name)
 	return nil
 }
@@ -113,6 +148,8 @@
 	now := old
 	now.Discovery = c.Discovery
 	now.Limits.Cores, now.Limits.MemoryMB = c.Limits.Cores, c.Limits.MemoryMB
+	now.Ours = renewOurs(old.Ours, c.Ours, log)
+	c.Ours = now.Ours
 	c.Known = old.Known // only the start of a sender asks for it
 	if c.Settings.Seed = old.Settings.Seed; !reflect.DeepEqual(c, now) {
 		log.Warn("configuration read again: some of what has changed waits for the next start")
@@ -121,6 +158,45 @@
 	return now
 }
 
+// renewOurs takes over what a script may change as the sender runs: bounds, pace
+// and rules. Where the store and the admin plane are waits for the next start.
+func renewOurs(old, new *settings.Settings, log *slog.Logger) *settings.Settings {
+	if old == nil || new == nil || (old.Held == nil) != (new.Held == nil) {
+		if old != nil || new != nil {
+			log.Warn("settings read again: to switch the held store on or off waits for the next start")
+		}
+		return old
+	}
+	if new.Held != nil && new.Held.Folder != old.Held.Folder {
+		log.Warn("settings read again: another held folder waits for the next start", "folder", new.Held.Folder)
+		new.Held.Folder = old.Held.Folder
+	}
+	if (old.Admin == nil) != (new.Admin == nil) || new.Admin != nil && *new.Admin != *old.Admin {
+		log.Warn("settings read again: another admin socket waits for the next start")
+		new.Admin = old.Admin
+	}
+	return new
+}
+
+// newKeeper makes the keeper of undeliverable messages, if the settings ask for one.
+func newKeeper(c Config, log *slog.Logger) *held.Keeper {
+	if c.Ours == nil || c.Ours.Held == nil {
+		return nil
+	}
+	return held.NewKeeper(held.Setup{
+		Settings: c.Ours, Platform: c.Settings, Log: log,
+		Names: held.Names{Classes: wordsOf(c.Names.Classes), Tenants: wordsOf(c.Names.Tenants)},
+	})
+}
+
+// openPlane opens the admin plane, if the settings ask for one.
+func openPlane(c Config, keeper *held.Keeper, log *slog.Logger) (*admin.Server, error) {
+	if c.Ours == nil || c.Ours.Admin == nil || keeper == nil {
+		return nil, nil
+	}
+	return admin.Listen(c.Ours.Admin.Socket, keeper, log)
+}
+
 // wind brings a sender to its end, counted from the signal.
 func wind(loop *state.Loop, listener *protocol.Listener, told time.Time) {
 	listener.Leave()
--- a/internal/protocol/listener.go
+++ b/internal/protocol/listener.go
@@ -45,13 +45,23 @@
 	crowded atomic.Bool // a connection waits for a place: others end after their answer
 	wg      sync.WaitGroup
 
-	keep int // so many connections are kept after a request
+	keep   int     // so many connections are kept after a request
+	claims Claimer // nil: keys have no owner besides the table
 
 	mu     sync.Mutex
 	open   map[*client]struct{}
 	served int // of those, the ones that had a request
 }
 
+// Claimer is asked before a message with a key is taken on: one of that key may be
+// kept for later. False: it is on its way, and the client should come again.
+type Claimer interface {
+	Claim(class int, key string, by time.Time) bool
+}
+
+// Ask names the claimer; before Serve.
+func (l *Listener) Ask(c Claimer) { l.claims = c }
+
 // A client is one client's connection.
 type client struct {
 	*link
@@ -287,6 +297,9 @@
 func (l *Listener) hand(k *client, m *state.Message, last bool) bool {
 	verdict := make(chan state.Verdict, 1)
 	limit := time.Now().Add(answerSpan)
+	if l.claims != nil && m.Key != "" && !l.claims.Claim(m.Class, m.Key, limit) {
+		return l.reply(k, http.StatusServiceUnavailable, busyPause, "a message with this key is on its way", last)
+	}
 	if !l.to.PostBefore(state.Handed{Message: m, Verdict: verdict}, limit) {
 		return l.reply(k, http.StatusServiceUnavailable, busyPause, "busy", last)
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -309,3 +309,21 @@
 	}
 	return time.Duration(float64(seconds) * float64(time.Second)), nil
 }
+
+// Summary says in a line what a script holds.
+func (s *Settings) Summary() string {
+	if s.Held == nil {
+		return s.Path + ": nothing is held"
+	}
+	text := fmt.Sprintf("%s: holds up to %d records and %d bytes for %v in %s; resends use %g of a partner's limit", s.Path,
+		s.Held.MaxRecords, s.Held.MaxBytes, s.Held.MaxAge, s.Held.Folder, s.Resend.Share)
+	for i, rule := range []starlark.Callable{s.hold, s.after} {
+		if rule == nil {
+			text += "; no rule " + []string{"hold", "after"}[i]
+		}
+	}
+	if s.Admin != nil {
+		text += "; admin socket " + s.Admin.Socket
+	}
+	return text
+}
--- a/internal/state/admit.go
+++ b/internal/state/admit.go
@@ -42,13 +42,6 @@
 		h.Verdict <- Verdict{Wrong: NoDestination}
 		return
 	}
-	if l.keeper != nil && h.Message.Key != "" {
-		// The held message of that key is on its way: when it has ended, this one may come.
-		if l.resending(h.Message.Class, h.Message.Key) {
-			h.Verdict <- Verdict{Again: l.pause(fullPause)}
-			return
-		}
-	}
 	if l.stopped {
 		h.Verdict <- Verdict{Again: l.pause(leavePause)}
 		return
@@ -63,9 +56,6 @@
 	l.table.add(e)
 	l.fresh = append(l.fresh, e)
 	l.hand(e, false)
-	if l.keeper != nil && e.Key != "" {
-		l.keeper.Handed(e.Class, e.Key)
-	}
 }
 
 // hand gives a message to the controller, with all that was done for it before.
--- a/internal/state/keep.go
+++ b/internal/state/keep.go
@@ -83,8 +83,6 @@
 	Saw(destination int, r control.Result, wait time.Duration, resend bool)
 	// Listed tells what is known of the destinations.
 	Listed(map[int]Listing)
-	// Handed tells of a client's message with a key that may belong to a record.
-	Handed(class int, key string)
 	// Busy tells how busy the loop is, once a round.
 	Busy(Load)
 }
@@ -231,19 +229,6 @@
 // isOut tells whether a forward of a message is out.
 func (l *Loop) isOut(e *entry) bool { return e.flights > 0 }
 
-// resending tells whether a held message with this key is being sent again.
-func (l *Loop) resending(class int, key string) bool {
-	if l.table.resends == 0 {
-		return false
-	}
-	for _, o := range l.table.entries {
-		if o.seq > 0 && o.notice == nil && o.Class == class && o.Key == key {
-			return true
-		}
-	}
-	return false
-}
-
 // stored goes on once the keeper has partings: nothing of them is owed to it.
 func (l *Loop) stored(s Stored) {
 	for _, num := range s.Nums {
@@ -288,7 +273,7 @@
 	l.keeper.Begin(owed, out)
 }
 
-// list tells the keeper what the target group knows.
+// tellListing tells the keeper what the target group knows.
 func (l *Loop) tellListing() {
 	if l.keeper == nil {
 		return
--- a/internal/state/table.go
+++ b/internal/state/table.go
@@ -57,7 +57,6 @@
 	ids     map[string]*entry
 	next    control.MessageID
 	open    int             // not ended
-	resends int             // of those, the keeper's
 	live    int64           // journal bytes of all
 	past    map[string]bool // ids of messages that are over...
 	expiry  []pastID        // ...until a time, in the order of it
@@ -103,9 +102,6 @@
 	t.next = max(t.next, e.num+1)
 	e.cost = takeCost(e.Message)
 	t.open++
-	if e.seq > 0 {
-		t.resends++
-	}
 	t.live += e.cost
 }
 
@@ -118,15 +114,7 @@
 	}
 	t.live += takeCost(e.Message) - e.cost
 	e.cost = takeCost(e.Message)
-	t.close(e)
-}
-
-// close counts a message as not open any more.
-func (t *table) close(e *entry) {
 	t.open--
-	if e.seq > 0 {
-		t.resends--
-	}
 }
 
 // drop forgets a message: nothing more is owed.
@@ -140,7 +128,7 @@
 	}
 	t.live -= e.cost
 	if e.notice == nil {
-		t.close(e)
+		t.open--
 	}
 }
 
