Test resends against a cold partner, kills, damage and races, and mend what they showed

The held store had tests of its parts only. Seen and mended: after a panic within it bbolt's Close may wait for good and its mapping keeps the lock on the file, so a damaged store is abandoned, not closed.

--- a/cmd/cleathold/held.go
+++ b/cmd/cleathold/held.go
@@ -42,7 +42,7 @@
 		return nil
 	case errors.Is(err, held.ErrNotFound):
 		return exit{err, exitNotFound}
-	case errors.Is(err, admin.ErrUnreachable), errors.Is(err, held.ErrInUse), errors.Is(err, os.ErrNotExist):
+	case errors.Is(err, admin.ErrUnreachable), errors.Is(err, admin.ErrReadOnly), errors.Is(err, held.ErrInUse), errors.Is(err, os.ErrNotExist):
 		return exit{err, exitUnreachable}
 	}
 	return err
--- a/cmd/cleathold/main_test.go
+++ b/cmd/cleathold/main_test.go
@@ -41,11 +41,17 @@
 	moved  atomic.Bool // the first platform takes no notices any more
 	asked  chan string // questions to discovery, by the platform's name
 	second string      // the address of the platform's other name
+	script string      // settings of our own
+	tune   func(config map[string]any)
+	raw    func(r *http.Request) string // answers in the place of answer
 }
 
 func newWorld(t *testing.T, answer func(id string) string) *world {
 	w := &world{t: t, dir: t.TempDir(), calls: make(chan string, 256), told: make(chan string, 256), asked: make(chan string, 256), answer: answer}
 	target := socktest.Serve(t, func(_ int, r *http.Request, _ string) string {
+		if w.raw != nil {
+			return w.raw(r)
+		}
 		id := r.Header.Get("X-Request-Id")
 		w.calls <- id
 		return w.answer(id)
@@ -82,7 +88,7 @@
 	if r.URL.Query().Has("since") {
 		return socktest.Hang
 	}
-	return socktest.JSON(fmt.Sprintf(`{"version":1,"full":true,"servers":[{"id":"s","addr":%q,"zone":"z","kind":"k","cell":7,"state":"up","weight":50}]}`, target))
+	return socktest.JSON(fmt.Sprintf(`{"version":1,"full":true,"servers":[{"id":"s","addr":%q,"zone":"z","kind":"k","cell":7,"state":"up","weight":150}]}`, target))
 }
 
 // configure writes the configuration, with that address of discovery.
@@ -101,6 +107,9 @@
 			"guarantees": map[string]any{"must-ask-in-ms": 10000, "fall-ms": 2000, "fall-multiple": 2, "cold-ms": 10000, "cold-from": 0.2},
 		},
 	}
+	if w.tune != nil {
+		w.tune(config)
+	}
 	text, _ := json.Marshal(config)
 	if err := os.WriteFile(w.config, text, 0o600); err != nil {
 		w.t.Fatal(err)
@@ -111,7 +120,7 @@
 func (w *world) start() *exec.Cmd {
 	w.t.Helper()
 	c := exec.Command(os.Args[0], "serve")
-	c.Env = append(os.Environ(), "CLEATHOLD_CHILD=1", "LB_CONFIG="+w.config)
+	c.Env = append(os.Environ(), "CLEATHOLD_CHILD=1", "LB_CONFIG="+w.config, "CLEATHOLD_SETTINGS="+w.script)
 	if err := c.Start(); err != nil {
 		w.t.Fatal(err)
 	}
--- a/internal/held/keeper.go
+++ b/internal/held/keeper.go
@@ -414,7 +414,7 @@
 			k.mu.Lock()
 			k.store = nil
 			k.mu.Unlock()
-			s.Close()
+			s.abandon()
 			pause(err)
 			continue
 		case err != nil:
--- a/internal/held/store.go
+++ b/internal/held/store.go
@@ -80,6 +80,7 @@
 type Store struct {
 	db   *bolt.DB
 	lock *os.File // held as long as the store is open
+	file *os.File // bbolt's own
 	path string
 
 	mu     sync.Mutex
@@ -226,14 +227,11 @@
 		}
 		return db.View(s.verify)
 	})
+	s.file = file
 	if err == nil {
 		return s, nil
 	}
-	if s.db != nil {
-		guard(s.db.Close)
-	} else if file != nil {
-		file.Close()
-	}
+	s.abandon()
 	switch {
 	case errors.Is(err, bolt.ErrTimeout):
 		return nil, ErrInUse
@@ -286,6 +284,19 @@
 	return guard(func() error { return s.db.View(func(tx *bolt.Tx) error { return f(&Tx{Tx: tx}) }) })
 }
 
+// abandon leaves a damaged store. bbolt's own Close may wait for good for what a
+// panic within it has locked, and what it has mapped keeps the lock on the file: the
+// lock goes, and the mapping stays with the process.
+func (s *Store) abandon() {
+	if s.file != nil {
+		syscall.Flock(int(s.file.Fd()), syscall.LOCK_UN)
+		s.file.Close()
+	}
+	if s.lock != nil {
+		s.lock.Close()
+	}
+}
+
 // Close closes the file and lets others in.
 func (s *Store) Close() error {
 	err := guard(s.db.Close)
--- /dev/null
+++ b/internal/state/keep_test.go
@@ -0,0 +1,197 @@
+package state
+
+import (
+	"testing"
+	"time"
+
+	"cleathold/control"
+)
+
+// keeperStub wants what it is told to, and notes what it gets.
+type keeperStub struct {
+	wants   bool
+	began   chan [2]int
+	parts   chan Parting
+	settled chan string
+}
+
+func newKeeperStub(wants bool) *keeperStub {
+	return &keeperStub{wants, make(chan [2]int, 4), make(chan Parting, 64), make(chan string, 64)}
+}
+
+func (k *keeperStub) Begin(owed []string, out []uint64)            { k.began <- [2]int{len(owed), len(out)} }
+func (k *keeperStub) Wants(*Parting) bool                          { return k.wants }
+func (k *keeperStub) Take(p Parting)                               { k.parts <- p }
+func (k *keeperStub) Saw(int, control.Result, time.Duration, bool) {}
+func (k *keeperStub) Listed(map[int]Listing)                       {}
+func (k *keeperStub) Busy(Load)                                    {}
+func (k *keeperStub) Settled(ids []string) {
+	for _, id := range ids {
+		k.settled <- id
+	}
+}
+
+// keepLoop is a loop with a keeper.
+func keepLoop(t *testing.T, dir string, k *keeperStub) (*Loop, *outside) {
+	l, o := loop(t, dir, 1e6)
+	l.keeper = k
+	return l, o
+}
+
+// fails hands a message in and has its only forward end with a result that its
+// class does not outlive.
+func fails(t *testing.T, l *Loop, o *outside, id string, r control.Result) {
+	t.Helper()
+	v := make(chan Verdict, 1)
+	l.Post(Handed{Message: &Message{ID: id, Class: 2, Destination: 7, Deadline: time.Now().Add(time.Minute), Body: []byte("body")}, Verdict: v})
+	get(t, v)
+	l.Post(Answered{id, true})
+	c := get(t, o.calls)
+	<-o.pending
+	l.Post(Ended{c, []End{{Forward: c.Forwards[0], Result: r}}})
+}
+
+// A message has one owner. The keeper's is undeliverable to the platform, and
+// the journal has it until both know, over a restart at any point between.
+func TestKeeperOwns(t *testing.T) {
+	for _, c := range []struct {
+		name         string
+		acked, store bool // what came before the kill
+	}{{"neither", false, false}, {"platform only", true, false}, {"store only", false, true}, {"both", true, true}} {
+		dir := t.TempDir()
+		k := newKeeperStub(true)
+		l, o := keepLoop(t, dir, k)
+		start(t, l)
+		get(t, k.began)
+		fails(t, l, o, "a", control.Broken)
+		n, p := get(t, o.notices), get(t, k.parts)
+		if n.Deferred || n.ID != "a" || p.Message.ID != "a" || string(p.Message.Body) != "body" || p.Reason != ReasonRan ||
+			len(p.Tries) != 1 || p.Tries[0].Target != "s" || p.Tries[0].Result != control.Broken {
+			t.Fatalf("%s: %+v, %+v", c.name, n, p)
+		}
+		if list, _ := ReadPending(dir, quiet); len(list) != 1 || list[0].Owed != "undeliverable" {
+			t.Fatalf("%s: the journal has %+v", c.name, list)
+		}
+		if c.acked {
+			l.Post(Acknowledged{[]control.MessageID{n.Num}})
+		}
+		if c.store {
+			l.Post(Stored{[]control.MessageID{p.Num}})
+		}
+		l.Idle()
+		l.Idle()
+		again := newKeeperStub(true) // as after a kill: another process reads the folder
+		l2, o2 := keepLoop(t, dir, again)
+		start(t, l2)
+		owed := get(t, again.began)[0]
+		if c.acked && c.store {
+			if id := get(t, k.settled); id != "a" || owed != 0 {
+				t.Errorf("%s: settled %s, owed %d", c.name, id, owed)
+			}
+			continue
+		}
+		n, p = get(t, o2.notices), get(t, again.parts)
+		if owed != 1 || n.Deferred || n.ID != "a" || string(p.Message.Body) != "body" || p.Reason != ReasonRan || !p.Tries[0].Open {
+			t.Errorf("%s: after the kill: owed %d, %+v, %+v", c.name, owed, n, p)
+		}
+		l2.Post(Acknowledged{[]control.MessageID{n.Num}})
+		l2.Post(Stored{[]control.MessageID{p.Num}})
+		get(t, again.settled)
+		if list, _ := ReadPending(dir, quiet); len(list) != 0 {
+			t.Errorf("%s: still owed: %+v", c.name, list)
+		}
+	}
+}
+
+// What is given back is not in the store, and the same is found after a restart.
+func TestGivenBack(t *testing.T) {
+	k := newKeeperStub(false)
+	dir := t.TempDir()
+	j, tb := open(t, dir, 1e6)
+	e := &entry{num: 9, Message: &Message{ID: "a", Class: 2, Destination: 7, Deadline: time.Now().Add(-time.Second), Body: []byte("body")}}
+	tb.add(e)
+	j.add(takeRecord(e))
+	if err := j.flush(tb); err != nil {
+		t.Fatal(err)
+	}
+	l, o := keepLoop(t, dir, k)
+	start(t, l)
+	if n := get(t, o.notices); !n.Deferred || n.ID != "a" {
+		t.Errorf("notice %+v", n)
+	}
+	if l.Idle(); len(k.parts) > 0 {
+		t.Errorf("the keeper has it, too: %+v", <-k.parts)
+	}
+}
+
+// A resend is journaled before it leaves, goes out under its id, and what comes
+// of it goes to the keeper alone; so does one that was out at a kill.
+func TestResends(t *testing.T) {
+	dir := t.TempDir()
+	k := newKeeperStub(true)
+	l, o := keepLoop(t, dir, k)
+	start(t, l)
+	get(t, k.began)
+	resend := func(l *Loop, seq uint64, id string, class int, ran bool, ago time.Duration) {
+		l.Post(Resend{Seq: seq, Sends: 2, Ran: ran, RanAgo: ago,
+			Message: &Message{ID: id, Class: class, Destination: 7, Deadline: time.Now().Add(time.Minute), Body: []byte("body")}})
+	}
+	resend(l, 5, "a", 2, false, 0)
+	c := get(t, o.calls)
+	if list := <-o.pending; len(list) != 1 || list[0].ID != "a" || list[0].Forwards != 3 {
+		t.Fatalf("journal as it leaves: %+v", list)
+	}
+	again := newKeeperStub(true)
+	l2, o2 := keepLoop(t, dir, again) // killed now
+	start(t, l2)
+	if got := get(t, again.began); got != [2]int{0, 1} {
+		t.Errorf("after the kill the journal tells %v", got)
+	}
+	if p := get(t, again.parts); p.Seq != 5 || p.Delivered || p.Reason != ReasonRan || len(p.Tries) != 1 || !p.Tries[0].Open || p.Sends != 3 {
+		t.Errorf("after the kill: %+v", p)
+	}
+	if l2.Idle(); len(o2.notices)+len(o2.calls) > 0 {
+		t.Error("a notice, or a second call")
+	}
+	l.Post(Ended{c, []End{{Forward: c.Forwards[0], Result: control.Served, Finished: true}}})
+	if p := get(t, k.parts); p.Seq != 5 || !p.Delivered {
+		t.Errorf("delivered: %+v", p)
+	} else {
+		l.Post(Stored{[]control.MessageID{p.Num}})
+	}
+	// What must not go again does not, whatever the keeper asks for.
+	resend(l, 6, "b", 2, true, time.Second)
+	if p := get(t, k.parts); p.Seq != 6 || p.Delivered || p.Turned || p.Sends != 2 {
+		t.Errorf("unsafe that may have run: %+v", p)
+	}
+	resend(l, 7, "c", 1, true, time.Hour)
+	if p := get(t, k.parts); p.Seq != 7 || p.Delivered {
+		t.Errorf("keyed beyond its memory: %+v", p)
+	}
+	// One at a time under an id, and none while live messages wait.
+	resend(l, 8, "d", 0, false, 0)
+	get(t, o.calls)
+	resend(l, 9, "d", 0, false, 0)
+	if p := get(t, k.parts); p.Seq != 9 || !p.Turned {
+		t.Errorf("a second one under its id: %+v", p)
+	}
+	if l.Idle(); len(o.notices) > 0 {
+		t.Errorf("notice %+v", <-o.notices)
+	}
+}
+
+// A journal that can't be written lets no resend go.
+func TestResendNeedsJournal(t *testing.T) {
+	k := newKeeperStub(true)
+	l, o := keepLoop(t, t.TempDir(), k)
+	l.journal.file.Close()
+	l.journal.dir = "/nowhere"
+	start(t, l)
+	l.Post(Resend{Seq: 5, Message: &Message{ID: "a", Destination: 7, Deadline: time.Now().Add(time.Minute), Body: []byte("body")}})
+	if p := get(t, k.parts); p.Seq != 5 || !p.Turned {
+		t.Errorf("%+v", p)
+	}
+	if l.Idle(); len(o.calls) > 0 {
+		t.Error("it left")
+	}
+}
