--- a/cmd/cleathold/held.go
+++ b/cmd/cleathold/held.go
@@ -64,7 +64,7 @@
 type where struct {
 	Socket   string `help:"Admin socket of a running sender." type:"path"`
 	Folder   string `help:"Held folder of a stopped sender; to read only." type:"path"`
-	Settings string `help:"Settings script that names both: the socket is asked if a sender answers there, else the folder." env:"CLEATHOLD_SETTINGS" type:"path"`
+	Settings string `help:"Settings script that names both: the socket is asked if a sender answers there, else the folder." env:"CLEATHOLD_SETTINGS"`
 	JSON     bool   `help:"JSON instead of text." name:"json"`
 }
 
--- a/cmd/cleathold/main.go
+++ b/cmd/cleathold/main.go
@@ -28,7 +28,7 @@
 
 type serveCmd struct {
 	Config   string `help:"Configuration file." env:"LB_CONFIG" required:"" type:"path"`
-	Settings string `help:"Starlark script with settings of our own: held messages, the admin plane. Without it both are off." env:"CLEATHOLD_SETTINGS" type:"path"`
+	Settings string `help:"Starlark script with settings of our own: held messages, the admin plane. Without it both are off." env:"CLEATHOLD_SETTINGS"`
 }
 
 func (s *serveCmd) Run(log *slog.Logger) error {
