--- a/cmd/cleathold/held_test.go
+++ b/cmd/cleathold/held_test.go
@@ -443,3 +443,32 @@
 		t.Errorf("resend of imported: %d %s", code, out)
 	}
 }
+
+// SIGHUP reads the script again: one with a fault changes nothing and ends nothing,
+// a good one rules from then on.
+func TestSettingsReload(t *testing.T) {
+	w := newHeldWorld(t, newPartner(150), holdAll)
+	w.drain()
+	c := w.start()
+	hand := w.client()
+	write := func(text string) {
+		if err := os.WriteFile(w.script, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		c.Process.Signal(syscall.SIGHUP)
+	}
+	hand.handIn("safe", "s1", "", 0.2)
+	plane := w.plane()
+	w.stats(plane, "held", func(s map[string]int, x held.Stats) bool { return s["held"] == 1 && x.Owed == 0 })
+	if out, code := w.command("check", "--settings", w.script); code != 0 {
+		t.Errorf("%d %s", code, out)
+	}
+	write(holdAll + "\nheld(\n")
+	if out, code := w.command("check", "--settings", w.script); code != 1 || !strings.Contains(out, "s.star:9:1") {
+		t.Errorf("%d %s", code, out)
+	}
+	hand.handIn("safe", "s2", "", 0.2)
+	w.stats(plane, "held by the old rules", func(s map[string]int, x held.Stats) bool { return s["held"] == 2 && x.Owed == 0 })
+	write(holdAll + "\ndef after(record, partner):\n    return drop()\n")
+	w.stats(plane, "dropped by the new ones", func(s map[string]int, _ held.Stats) bool { return s["dropped"] == 2 })
+}
--- a/internal/held/keeper.go
+++ b/internal/held/keeper.go
@@ -408,8 +408,12 @@
 			k.opened(s)
 		}
 		next, err := k.round(s)
+		if err == nil {
+			err = k.rest(ctx, s, next)
+			retry = retryFirst
+		}
 		switch {
-		case errors.Is(err, ErrDamaged):
+		case errors.Is(err, ErrDamaged): // also seen by an order: bbolt may have left its lock taken
 			damage = err
 			k.mu.Lock()
 			k.store = nil
@@ -421,17 +425,6 @@
 			pause(err)
 			continue
 		}
-		k.fail(false)
-		retry = retryFirst
-		timer := time.NewTimer(next)
-		select {
-		case <-ctx.Done():
-		case <-k.more:
-		case o := <-k.orders:
-			k.run(s, o)
-		case <-timer.C:
-		}
-		timer.Stop()
 	}
 	k.mu.Lock()
 	s := k.store
@@ -450,6 +443,23 @@
 	}
 }
 
+// rest waits until there is something to do, and runs an order if one comes.
+func (k *Keeper) rest(ctx context.Context, s *Store, most time.Duration) error {
+	k.fail(false)
+	timer := time.NewTimer(most)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-k.more:
+	case o := <-k.orders:
+		if err := k.run(s, o); errors.Is(err, ErrDamaged) {
+			return err
+		}
+	case <-timer.C:
+	}
+	return nil
+}
+
 func (k *Keeper) fail(on bool) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
@@ -474,13 +484,15 @@
 }
 
 // run runs an order.
-func (k *Keeper) run(s *Store, o order) {
-	o.done <- s.Update(func(t *Tx) error {
+func (k *Keeper) run(s *Store, o order) error {
+	err := s.Update(func(t *Tx) error {
 		if err := o.run(t); err != nil {
 			return err
 		}
 		return k.stamp(t)
 	})
+	o.done <- err
+	return err
 }
 
 // stamp keeps the latest time.
