--- /dev/null
+++ b/internal/audit/auditor.go
@@ -0,0 +1,459 @@
+package audit
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"time"
+)
+
+// breaksMost are kept; more are only counted.
+const breaksMost = 1000
+
+// Auditor reads a ledger, event by event.
+type Auditor struct {
+	terms    Terms
+	now      time.Duration
+	messages map[string]*message
+	calls    map[uint64]*call
+	due      []*message // taken, by the time at which they are looked at
+	senders  map[int]*sender
+	routes   map[routeKey]*route
+	breaks   []Break
+	count    map[Rule]int
+	seen     Counts
+}
+
+// Counts tell how much was judged.
+type Counts struct {
+	Events, HandIns, Taken, Calls, Delivered, Deferred, Undeliverable int
+}
+
+// A message from its hand-in until nothing later can be judged by it.
+type message struct {
+	id        string
+	sender    int
+	class     Class
+	dest      int
+	due       time.Duration
+	taken     bool
+	ended     bool
+	delivered bool // its target said so, though its client may not know yet
+	calls     []*attempt
+	checkAt   time.Duration
+}
+
+// An attempt is a message's part of a call.
+type attempt struct {
+	call    *call
+	ended   bool
+	outcome Outcome
+}
+
+type call struct {
+	id       uint64
+	sender   int
+	endpoint string
+	zone     int
+	dest     int
+	at       time.Duration
+	messages []string
+}
+
+type sender struct {
+	left     map[string]time.Duration // endpoints told to drain or be gone
+	waits    map[routeKey]wait        // told
+	diedAt   time.Duration            // of the latest restart...
+	readyAt  time.Duration            // ...and when it was ready again
+	down     bool
+	restarts bool
+}
+
+type wait struct{ from, until time.Duration }
+
+// A routeKey is a destination, or an endpoint that is a route apart.
+type routeKey struct {
+	dest     int
+	endpoint string
+}
+
+// A route is what falls.
+type route struct {
+	out bool
+	saw map[int]bool // senders that saw a failure during the outage
+}
+
+// New returns an auditor.
+func New(t Terms) *Auditor {
+	return &Auditor{
+		terms: t, messages: map[string]*message{}, calls: map[uint64]*call{}, senders: map[int]*sender{},
+		routes: map[routeKey]*route{}, count: map[Rule]int{},
+	}
+}
+
+func (a *Auditor) sender(n int) *sender {
+	s := a.senders[n]
+	if s == nil {
+		s = &sender{left: map[string]time.Duration{}, waits: map[routeKey]wait{}}
+		a.senders[n] = s
+	}
+	return s
+}
+
+func (a *Auditor) key(dest int, endpoint string) routeKey {
+	if a.terms.Apart[dest] {
+		return routeKey{dest, endpoint}
+	}
+	return routeKey{dest: dest}
+}
+
+func (a *Auditor) route(k routeKey) *route {
+	r := a.routes[k]
+	if r == nil {
+		r = &route{saw: map[int]bool{}}
+		a.routes[k] = r
+	}
+	return r
+}
+
+func (a *Auditor) broken(b Break) {
+	a.count[b.Rule]++
+	if len(a.breaks) < breaksMost {
+		a.breaks = append(a.breaks, b)
+	}
+}
+
+// Read takes the next event. An error tells of a ledger that can't be: times that
+// go back, or an event of something that never was.
+func (a *Auditor) Read(e Event) error {
+	if e.At < a.now {
+		return fmt.Errorf("audit: an event at %v after one at %v", e.At, a.now)
+	}
+	a.overdue(e.At)
+	a.now = e.At
+	a.seen.Events++
+	switch e.What {
+	case HandIn:
+		return a.handIn(e)
+	case Taken, TurnedAt:
+		m := a.messages[e.Message]
+		if m == nil {
+			return fmt.Errorf("audit: an answer to %q, which nobody handed in", e.Message)
+		}
+		a.answered(m, e.What == Taken)
+	case Sent:
+		return a.sent(e)
+	case Ended:
+		return a.ended(e)
+	case Notice:
+		a.notice(e)
+	case Told:
+		s := a.sender(e.Sender)
+		if at, before := s.left[e.Endpoint]; !e.Leaves {
+			delete(s.left, e.Endpoint)
+		} else if !before || e.At < at {
+			s.left[e.Endpoint] = e.At
+		}
+	case Trouble:
+		r := a.route(a.key(e.Dest, e.Endpoint))
+		if !r.out {
+			r.out, r.saw = true, map[int]bool{}
+		}
+	case Back:
+		a.route(a.key(e.Dest, e.Endpoint)).out = false
+	case Saw:
+		if r := a.route(a.key(e.Dest, e.Endpoint)); r.out {
+			r.saw[e.Sender] = true
+		}
+	case Fell:
+		a.fell(e)
+	case Died:
+		s := a.sender(e.Sender)
+		if !s.down {
+			s.diedAt = e.At
+		}
+		s.down, s.restarts = true, true
+		clear(s.waits) // a restart ends the wait
+		for _, r := range a.routes {
+			delete(r.saw, e.Sender)
+		}
+	case Ready:
+		s := a.sender(e.Sender)
+		s.down, s.readyAt = false, e.At
+	default:
+		return fmt.Errorf("audit: an event of kind %d", e.What)
+	}
+	return nil
+}
+
+func (a *Auditor) handIn(e Event) error {
+	if a.messages[e.Message] != nil {
+		return fmt.Errorf("audit: %q is handed in twice under one id", e.Message)
+	}
+	if e.Class < 0 || e.Class >= len(a.terms.Classes) {
+		return fmt.Errorf("audit: %q has class %d", e.Message, e.Class)
+	}
+	a.seen.HandIns++
+	a.messages[e.Message] = &message{id: e.Message, sender: e.Sender, class: a.terms.Classes[e.Class], dest: e.Dest, due: e.At + e.Left}
+	return nil
+}
+
+// answered: from 202 on the message is owed its end.
+func (a *Auditor) answered(m *message, taken bool) {
+	if !taken {
+		a.end(m)
+		if len(m.calls) == 0 {
+			delete(a.messages, m.id)
+		}
+		return
+	}
+	a.seen.Taken++
+	m.taken = true
+	if m.delivered {
+		a.end(m)
+		return
+	}
+	m.checkAt = m.due + a.terms.AnswerSlack
+	a.queue(m)
+}
+
+func (a *Auditor) queue(m *message) {
+	i, _ := slices.BinarySearchFunc(a.due, m, func(x, m *message) int { return cmp.Compare(x.checkAt, m.checkAt) })
+	a.due = slices.Insert(a.due, i, m)
+}
+
+// overdue looks at messages whose time is up by now.
+func (a *Auditor) overdue(now time.Duration) {
+	for len(a.due) > 0 && a.due[0].checkAt < now {
+		m := a.due[0]
+		a.due = a.due[1:]
+		if m.ended {
+			a.forget(m, now)
+			continue
+		}
+		s := a.sender(m.sender)
+		if s.down { // none is overdue until it is ready again
+			m.checkAt = now + time.Millisecond
+			a.queue(m)
+			continue
+		}
+		if grace := s.readyAt + a.terms.ReadySlack; s.restarts && m.checkAt >= s.diedAt && m.checkAt < grace {
+			m.checkAt = grace
+			a.queue(m)
+			continue
+		}
+		a.broken(Break{
+			Rule: Lost, At: m.checkAt, Sender: m.sender, Message: m.id, Calls: m.numbers(), Times: []time.Duration{m.due},
+			Text: fmt.Sprintf("taken on, and neither delivered nor ended by a notice at %v; its time was up at %v", m.checkAt, m.due),
+		})
+		a.end(m)
+		a.forget(m, now)
+	}
+}
+
+func (m *message) numbers() []uint64 {
+	var list []uint64
+	for _, t := range m.calls {
+		list = append(list, t.call.id)
+	}
+	return list
+}
+
+// end: nothing more is owed. What may have run is remembered, as a later call
+// could still repeat it.
+func (a *Auditor) end(m *message) {
+	if m.ended {
+		return
+	}
+	m.ended = true
+}
+
+// forget drops a message that has ended. One of its id would be a hand-in that
+// never was, which sent finds.
+func (a *Auditor) forget(m *message, now time.Duration) {
+	for _, t := range m.calls {
+		if !t.ended {
+			return // its end drops it
+		}
+	}
+	if m.ended && now >= m.due+a.terms.AnswerSlack {
+		delete(a.messages, m.id)
+	}
+}
+
+func (a *Auditor) sent(e Event) error {
+	if a.calls[e.Call] != nil {
+		return fmt.Errorf("audit: call %d begins twice", e.Call)
+	}
+	a.seen.Calls++
+	c := &call{e.Call, e.Sender, e.Endpoint, e.Zone, e.Dest, e.At, e.Messages}
+	a.calls[e.Call] = c
+	s := a.sender(e.Sender)
+	at := func(rule Rule, id string, since time.Duration, text string) {
+		a.broken(Break{Rule: rule, At: e.At, Sender: e.Sender, Message: id, Calls: []uint64{e.Call}, Times: []time.Duration{since, e.At}, Text: text})
+	}
+	if told, leaves := s.left[e.Endpoint]; leaves && e.At > told+a.terms.DrainGrace {
+		at(Drained, "", told, fmt.Sprintf("a call to %s %v after the sender was told that it drains or is gone", e.Endpoint, e.At-told))
+	}
+	if w, told := s.waits[a.key(e.Dest, e.Endpoint)]; told {
+		switch {
+		case e.At >= w.until:
+			delete(s.waits, a.key(e.Dest, e.Endpoint))
+		case e.At > w.from+a.terms.WaitSlack:
+			at(Waited, "", w.from, fmt.Sprintf("a call to destination %d %v before the end of a wait", e.Dest, w.until-e.At))
+		}
+	}
+	for _, id := range e.Messages {
+		m := a.messages[id]
+		if m == nil {
+			at(WrongWay, id, e.At, "a message that nobody handed in, or that ended long ago")
+			continue
+		}
+		if m.dest != e.Dest {
+			at(WrongWay, id, e.At, fmt.Sprintf("for destination %d, sent to %s of %d", m.dest, e.Endpoint, e.Dest))
+		}
+		a.repeat(m, c)
+		m.calls = append(m.calls, &attempt{call: c})
+	}
+	return nil
+}
+
+// repeat judges a further call of a message.
+func (a *Auditor) repeat(m *message, c *call) {
+	if m.ended && m.taken && m.class.Effect == Unsafe {
+		a.broken(Break{Rule: Repeated, At: c.at, Sender: c.sender, Message: m.id, Calls: append(m.numbers(), c.id), Text: "sent after its end"})
+		return
+	}
+	for _, t := range m.calls {
+		if t.ended && t.outcome == NeverRan || t.ended && t.outcome == Over {
+			continue
+		}
+		why := ""
+		switch m.class.Effect {
+		case Unsafe:
+			why = "it may have run, and must never run twice"
+		case Keyed:
+			switch {
+			case c.at-t.call.at >= m.class.Memory:
+				why = fmt.Sprintf("it may have run %v before, and its key is remembered for %v", c.at-t.call.at, m.class.Memory)
+			case m.class.Zoned && c.zone != t.call.zone:
+				why = fmt.Sprintf("it may have run in zone %d, and goes to zone %d", t.call.zone, c.zone)
+			}
+		}
+		if why != "" {
+			a.broken(Break{
+				Rule: Repeated, At: c.at, Sender: c.sender, Message: m.id, Calls: []uint64{t.call.id, c.id},
+				Times: []time.Duration{t.call.at, c.at}, Text: why,
+			})
+			return
+		}
+	}
+}
+
+func (a *Auditor) ended(e Event) error {
+	c := a.calls[e.Call]
+	if c == nil {
+		return fmt.Errorf("audit: call %d ends and never began", e.Call)
+	}
+	delete(a.calls, e.Call)
+	if e.Wait > 0 {
+		s, k := a.sender(c.sender), a.key(c.dest, c.endpoint)
+		if w := s.waits[k]; e.At+e.Wait > w.until {
+			s.waits[k] = wait{e.At, e.At + e.Wait}
+		}
+	}
+	for _, id := range c.messages {
+		m := a.messages[id]
+		if m == nil {
+			continue
+		}
+		outcome := e.Outcome
+		if o, apart := e.Ends[id]; apart {
+			outcome = o
+		}
+		for _, t := range m.calls {
+			if t.call == c {
+				t.ended, t.outcome = true, outcome
+			}
+		}
+		switch outcome {
+		case Delivered:
+			if !m.delivered {
+				a.seen.Delivered++
+			}
+			if m.delivered = true; m.taken {
+				a.end(m)
+			}
+		case Over:
+			a.end(m)
+		}
+		a.forget(m, a.now)
+	}
+	return nil
+}
+
+// notice judges what the platform is told: that handing in again is harmless holds
+// only for what provably never ran, or whose key is remembered everywhere.
+func (a *Auditor) notice(e Event) {
+	m := a.messages[e.Message]
+	if m == nil || m.ended {
+		return // a notice for a message that is over does no harm
+	}
+	if e.Deferred {
+		a.seen.Deferred++
+	} else {
+		a.seen.Undeliverable++
+	}
+	for _, t := range m.calls {
+		ran := !t.ended || t.outcome == Failed || t.outcome == Delivered
+		if e.Deferred && ran && (m.class.Effect == Unsafe || m.class.Effect == Keyed && m.class.Zoned) {
+			a.broken(Break{
+				Rule: Repeated, At: e.At, Sender: e.Sender, Message: m.id, Calls: []uint64{t.call.id}, Times: []time.Duration{t.call.at, e.At},
+				Text: "handed back though it may have run",
+			})
+			break
+		}
+	}
+	a.end(m)
+}
+
+// fell judges who pushed a returning partner over.
+func (a *Auditor) fell(e Event) {
+	r := a.route(a.key(e.Dest, e.Endpoint))
+	all, seen, most, worst := 0, 0, 0, 0
+	for who, n := range e.Pushes {
+		all += n
+		if !r.saw[who] {
+			continue
+		}
+		if seen += n; n > most || n == most && who < worst {
+			most, worst = n, who
+		}
+	}
+	if all == 0 || float64(seen) < a.terms.PushShare*float64(all) {
+		return
+	}
+	a.broken(Break{
+		Rule: Pushed, At: e.At, Sender: worst, Times: []time.Duration{e.At},
+		Text: fmt.Sprintf("destination %d was pushed over: %d of %d calls came from senders that had seen it fail, most from sender %d", e.Dest, seen, all, worst),
+	})
+}
+
+// Close judges what is left at the end of a ledger, and returns the breaks. The
+// end is a time by which all should be answered.
+func (a *Auditor) Close(end time.Duration) []Break {
+	for _, s := range a.senders { // one that never came back owes what it had
+		if s.down {
+			s.down, s.readyAt = false, a.now
+		}
+	}
+	a.overdue(end)
+	a.now = max(a.now, end)
+	return a.breaks
+}
+
+// Counted tells how much was judged, and how often each rule was broken.
+func (a *Auditor) Counted() (Counts, map[Rule]int) { return a.seen, a.count }
+
+// Held is how much the auditor remembers now; for the tests of its bounds.
+func (a *Auditor) Held() int { return len(a.messages) + len(a.calls) }
--- /dev/null
+++ b/internal/audit/auditor_test.go
@@ -0,0 +1,194 @@
+package audit
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+)
+
+const ms = time.Millisecond
+
+func terms() Terms {
+	t := Sockets([]Class{{Effect: Safe}, {Effect: Keyed, Memory: 12 * time.Second}, {Effect: Unsafe}, {Effect: Keyed, Memory: 12 * time.Second, Zoned: true}}, 2*time.Second)
+	t.Apart[9] = true
+	return t
+}
+
+// judge plays a ledger and returns the rules that were broken.
+func judge(t *testing.T, name string, list []Event) string {
+	t.Helper()
+	a := New(terms())
+	for _, e := range list {
+		if err := a.Read(e); err != nil {
+			t.Fatalf("%s: %v", name, err)
+		}
+	}
+	var rules []string
+	for _, b := range a.Close(list[len(list)-1].At + time.Minute) {
+		rules = append(rules, string(b.Rule))
+	}
+	return strings.Join(rules, "; ")
+}
+
+func in(at time.Duration, id string, class, dest int) Event {
+	return Event{At: at, What: HandIn, Message: id, Class: class, Dest: dest, Left: 10 * time.Second}
+}
+
+func taken(at time.Duration, id string) Event { return Event{At: at, What: Taken, Message: id} }
+
+func sent(at time.Duration, n uint64, endpoint string, dest int, ids ...string) Event {
+	return Event{At: at, What: Sent, Call: n, Endpoint: endpoint, Dest: dest, Messages: ids}
+}
+
+func ended(at time.Duration, n uint64, o Outcome) Event {
+	return Event{At: at, What: Ended, Call: n, Outcome: o}
+}
+
+// Each rule broken by one step is found, and its twin just inside is not.
+func TestMutants(t *testing.T) {
+	const lost, repeated, drained, pushed, waited, wrong = string(Lost), string(Repeated), string(Drained), string(Pushed), string(Waited), string(WrongWay)
+	notice := func(at time.Duration, id string, deferred bool) Event {
+		return Event{At: at, What: Notice, Message: id, Deferred: deferred}
+	}
+	zoned := func(e Event, zone int) Event { e.Zone = zone; return e }
+	told := func(at time.Duration, endpoint string, leaves bool) Event {
+		return Event{At: at, What: Told, Endpoint: endpoint, Leaves: leaves}
+	}
+	refused := func(at time.Duration, n uint64, wait time.Duration) Event {
+		return Event{At: at, What: Ended, Call: n, Outcome: NeverRan, Wait: wait}
+	}
+	by := func(e Event, sender int) Event { e.Sender = sender; return e }
+	fall := func(saw []int, pushes map[int]int) []Event {
+		list := []Event{{At: 1 * ms, What: Trouble, Dest: 7}}
+		for _, s := range saw {
+			list = append(list, Event{At: 2 * ms, What: Saw, Dest: 7, Sender: s})
+		}
+		return append(list, Event{At: 3 * ms, What: Back, Dest: 7}, Event{At: 4 * ms, What: Fell, Dest: 7, Pushes: pushes})
+	}
+	// first is a call of a message of a class, with its end; then a second one.
+	again := func(class int, first Outcome, gap time.Duration, zone int) []Event {
+		first20 := in(0, "m", class, 7)
+		first20.Left = 20 * time.Second
+		return []Event{first20, taken(ms, "m"), sent(2*ms, 1, "a", 7, "m"), ended(3*ms, 1, first),
+			zoned(sent(2*ms+gap, 2, "b", 7, "m"), zone), ended(3*ms+gap, 2, Delivered)}
+	}
+	for _, c := range []struct {
+		name string
+		list []Event
+		want string
+	}{
+		{"delivered", []Event{in(0, "m", 0, 7), taken(ms, "m"), sent(2*ms, 1, "a", 7, "m"), ended(3*ms, 1, Delivered)}, ""},
+		{"delivered before its client heard", []Event{in(0, "m", 0, 7), sent(2*ms, 1, "a", 7, "m"), ended(3*ms, 1, Delivered), taken(4*ms, "m")}, ""},
+		{"never ended", []Event{in(0, "m", 0, 7), taken(ms, "m")}, lost},
+		{"never taken on", []Event{in(0, "m", 0, 7), {At: ms, What: TurnedAt, Message: "m"}}, ""},
+		{"a notice at the last instant", []Event{in(0, "m", 0, 7), taken(ms, "m"), notice(10300*ms, "m", true)}, ""},
+		{"a notice after it", []Event{in(0, "m", 0, 7), taken(ms, "m"), notice(10301*ms, "m", true)}, lost},
+		{"over", []Event{in(0, "m", 0, 7), taken(ms, "m"), sent(2*ms, 1, "a", 7, "m"), ended(3*ms, 1, Over)}, ""},
+		{"late after a restart", []Event{in(0, "m", 0, 7), taken(ms, "m"), {At: 10 * time.Second, What: Died}, {At: 12 * time.Second, What: Ready}, notice(13500*ms, "m", true)}, ""},
+		{"too late after a restart", []Event{in(0, "m", 0, 7), taken(ms, "m"), {At: 10 * time.Second, What: Died}, {At: 12 * time.Second, What: Ready}, notice(13501*ms, "m", true)}, lost},
+		{"overdue before the restart", []Event{in(0, "m", 0, 7), taken(ms, "m"), {At: 10301 * ms, What: Died}, {At: 12 * time.Second, What: Ready}, notice(13*time.Second, "m", true)}, lost},
+		{"one of a call fails", []Event{in(0, "m", 0, 7), taken(ms, "m"), in(ms, "n", 2, 7), taken(ms, "n"), sent(2*ms, 1, "a", 7, "m", "n"),
+			{At: 3 * ms, What: Ended, Call: 1, Outcome: Delivered, Ends: map[string]Outcome{"n": Failed}}, notice(4*ms, "n", false)}, ""},
+
+		{"safe, again", again(0, Failed, time.Second, 0), ""},
+		{"unsafe, never ran", again(2, NeverRan, time.Second, 0), ""},
+		{"unsafe, may have run", again(2, Failed, time.Second, 0), repeated},
+		{"keyed, within", again(1, Failed, 9*time.Second, 0), ""},
+		{"keyed, just within", again(1, Failed, 12*time.Second-1, 0), ""},
+		{"keyed, just beyond", again(1, Failed, 12*time.Second, 0), repeated},
+		{"zoned, same zone", again(3, Failed, time.Second, 0), ""},
+		{"zoned, other zone", again(3, Failed, time.Second, 1), repeated},
+		{"unsafe, a second copy", []Event{in(0, "m", 2, 7), taken(ms, "m"), sent(2*ms, 1, "a", 7, "m"), sent(3*ms, 2, "b", 7, "m"), ended(4*ms, 1, Delivered), ended(4*ms, 2, Delivered)}, repeated},
+		{"unsafe, handed back", []Event{in(0, "m", 2, 7), taken(ms, "m"), sent(2*ms, 1, "a", 7, "m"), ended(3*ms, 1, NeverRan), notice(4*ms, "m", true)}, ""},
+		{"unsafe, handed back though it ran", []Event{in(0, "m", 2, 7), taken(ms, "m"), sent(2*ms, 1, "a", 7, "m"), ended(3*ms, 1, Failed), notice(4*ms, "m", true)}, repeated},
+		{"keyed, handed back", []Event{in(0, "m", 1, 7), taken(ms, "m"), sent(2*ms, 1, "a", 7, "m"), ended(3*ms, 1, Failed), notice(4*ms, "m", true)}, ""},
+		{"zoned, handed back", []Event{in(0, "m", 3, 7), taken(ms, "m"), sent(2*ms, 1, "a", 7, "m"), ended(3*ms, 1, Failed), notice(4*ms, "m", true)}, repeated},
+		{"unsafe, failed", []Event{in(0, "m", 2, 7), taken(ms, "m"), sent(2*ms, 1, "a", 7, "m"), ended(3*ms, 1, Failed), notice(4*ms, "m", false)}, ""},
+
+		{"drains", []Event{in(0, "m", 0, 7), taken(ms, "m"), told(2*ms, "a", true), sent(2052*ms, 1, "a", 7, "m"), ended(2060*ms, 1, Delivered)}, ""},
+		{"drained", []Event{in(0, "m", 0, 7), taken(ms, "m"), told(2*ms, "a", true), sent(2053*ms, 1, "a", 7, "m"), ended(2060*ms, 1, Delivered)}, drained},
+		{"told twice", []Event{in(0, "m", 0, 7), taken(ms, "m"), told(2*ms, "a", true), told(time.Second, "a", true), sent(2053*ms, 1, "a", 7, "m"), ended(2060*ms, 1, Delivered)}, drained},
+		{"back on the list", []Event{in(0, "m", 0, 7), taken(ms, "m"), told(2*ms, "a", true), told(time.Second, "a", false), sent(4*time.Second, 1, "a", 7, "m"), ended(5*time.Second, 1, Delivered)}, ""},
+		{"another sender was told", []Event{in(0, "m", 0, 7), taken(ms, "m"), by(told(2*ms, "a", true), 1), sent(4*time.Second, 1, "a", 7, "m"), ended(5*time.Second, 1, Delivered)}, ""},
+
+		{"wait kept", []Event{in(0, "m", 0, 7), taken(ms, "m"), sent(2*ms, 1, "a", 7, "m"), refused(3*ms, 1, time.Second), sent(1003*ms, 2, "b", 7, "m"), ended(1004*ms, 2, Delivered)}, ""},
+		{"wait broken", []Event{in(0, "m", 0, 7), taken(ms, "m"), sent(2*ms, 1, "a", 7, "m"), refused(3*ms, 1, time.Second), sent(1002*ms, 2, "b", 7, "m"), ended(1004*ms, 2, Delivered)}, waited},
+		{"just sent", []Event{in(0, "m", 0, 7), taken(ms, "m"), sent(2*ms, 1, "a", 7, "m"), refused(3*ms, 1, time.Second), sent(103*ms, 2, "b", 7, "m"), ended(1004*ms, 2, Delivered)}, ""},
+		{"sent a moment after", []Event{in(0, "m", 0, 7), taken(ms, "m"), sent(2*ms, 1, "a", 7, "m"), refused(3*ms, 1, time.Second), sent(104*ms, 2, "b", 7, "m"), ended(1004*ms, 2, Delivered)}, waited},
+		{"a shorter wait ends none", []Event{in(0, "m", 0, 7), taken(ms, "m"), sent(2*ms, 1, "a", 7, "m"), sent(2*ms, 2, "b", 7, "m"), refused(3*ms, 1, time.Second), refused(4*ms, 2, 10*ms), sent(500*ms, 3, "b", 7, "m"), ended(1004*ms, 3, Delivered)}, waited},
+		{"another sender goes on", []Event{in(0, "m", 0, 7), taken(ms, "m"), sent(2*ms, 1, "a", 7, "m"), refused(3*ms, 1, time.Second), by(sent(500*ms, 2, "b", 7, "m"), 1), ended(1004*ms, 2, Delivered)}, ""},
+		{"routes apart", []Event{in(0, "m", 0, 9), taken(ms, "m"), sent(2*ms, 1, "a", 9, "m"), refused(3*ms, 1, time.Second), sent(500*ms, 2, "b", 9, "m"), ended(1004*ms, 2, Delivered)}, ""},
+		{"one route", []Event{in(0, "m", 0, 9), taken(ms, "m"), sent(2*ms, 1, "a", 9, "m"), refused(3*ms, 1, time.Second), sent(500*ms, 2, "a", 9, "m"), ended(1004*ms, 2, Delivered)}, waited},
+		{"a restart ends it", []Event{in(0, "m", 0, 7), taken(ms, "m"), sent(2*ms, 1, "a", 7, "m"), refused(3*ms, 1, time.Second), {At: 200 * ms, What: Died}, {At: 300 * ms, What: Ready}, sent(500*ms, 2, "b", 7, "m"), ended(1004*ms, 2, Delivered)}, ""},
+
+		{"pushed by those that saw it", fall([]int{0, 1}, map[int]int{0: 10, 1: 10}), pushed},
+		{"two thirds", fall([]int{0}, map[int]int{0: 20, 1: 10}), pushed},
+		{"less", fall([]int{0}, map[int]int{0: 19, 1: 10}), ""},
+		{"nobody saw it", fall(nil, map[int]int{0: 20}), ""},
+
+		{"right cell", []Event{in(0, "m", 0, 7), taken(ms, "m"), sent(2*ms, 1, "a", 7, "m"), ended(3*ms, 1, Delivered)}, ""},
+		{"wrong cell", []Event{in(0, "m", 0, 7), taken(ms, "m"), sent(2*ms, 1, "a", 8, "m"), ended(3*ms, 1, Delivered)}, wrong},
+		{"nobody's message", []Event{sent(2*ms, 1, "a", 8, "m"), ended(3*ms, 1, Delivered)}, wrong},
+	} {
+		if got := judge(t, c.name, c.list); got != c.want {
+			t.Errorf("%s: broken: %q, want %q", c.name, got, c.want)
+		}
+	}
+}
+
+// A break names what it rests on.
+func TestBreakNames(t *testing.T) {
+	a := New(terms())
+	for _, e := range []Event{in(0, "m", 2, 7), taken(ms, "m"), sent(2*ms, 1, "a", 7, "m"), ended(3*ms, 1, Failed), sent(5*ms, 2, "b", 7, "m")} {
+		if err := a.Read(e); err != nil {
+			t.Fatal(err)
+		}
+	}
+	b := a.Close(5 * ms)
+	if len(b) != 1 || b[0].Message != "m" || fmt.Sprint(b[0].Calls, b[0].Times) != "[1 2] [2ms 5ms]" || b[0].At != 5*ms {
+		t.Errorf("%+v", b)
+	}
+}
+
+// A ledger that can't be is an error, not a judgement.
+func TestImpossible(t *testing.T) {
+	for name, list := range map[string][]Event{
+		"back in time":   {in(ms, "m", 0, 7), in(0, "n", 0, 7)},
+		"twice":          {in(0, "m", 0, 7), in(ms, "m", 0, 7)},
+		"no class":       {in(0, "m", 17, 7)},
+		"end of no call": {ended(0, 1, Delivered)},
+		"call twice":     {sent(0, 1, "a", 7), sent(0, 1, "a", 7)},
+		"no hand-in":     {taken(0, "m")},
+		"unknown":        {{What: 99}},
+	} {
+		a := New(terms())
+		var err error
+		for _, e := range list {
+			if err = a.Read(e); err != nil {
+				break
+			}
+		}
+		if err == nil {
+			t.Errorf("%s: read without a word", name)
+		}
+	}
+}
+
+// What is over is forgotten: a long ledger takes no more memory than a short one.
+func TestForgets(t *testing.T) {
+	a := New(terms())
+	most := 0
+	for i := range 20_000 {
+		at, id := time.Duration(i)*10*ms, fmt.Sprint(i)
+		for _, e := range []Event{in(at, id, i%3, 7), taken(at, id), sent(at, uint64(i), "a", 7, id), ended(at+ms, uint64(i), Delivered)} {
+			if err := a.Read(e); err != nil {
+				t.Fatal(err)
+			}
+		}
+		most = max(most, a.Held())
+	}
+	if n, _ := a.Counted(); most > 1100 || n.Delivered != 20_000 {
+		t.Errorf("held %d at most, %+v", most, n)
+	}
+}
--- /dev/null
+++ b/internal/audit/event.go
@@ -0,0 +1,121 @@
+// Package audit judges the rules of the project from a ledger of what was seen
+// outside the senders: hand-ins, answers, calls, notices, the list as it was told,
+// and the partners' outages. It takes nobody's word for anything, and it keeps
+// only what a later event may still need.
+package audit
+
+import "time"
+
+// What an event tells.
+type What uint8
+
+// The events. In brackets the fields that they use besides At and Sender.
+const (
+	HandIn   What = iota // a message has come in whole (Message, Class, Dest, Left, Key)
+	Taken                // its client has heard that it is taken on (Message)
+	TurnedAt             // its client has a fixed response: nothing is owed (Message)
+	Sent                 // the first byte of a call has come (Call, Endpoint, Zone, Dest, Messages)
+	Ended                // a call has ended (Call, Outcome, Wait; Ends, where its messages fared apart)
+	Notice               // the platform has a notice (Message, Deferred)
+	Told                 // discovery has told a sender, or counts as having told (Endpoint, Dest, Leaves)
+	Trouble              // an outage of a route began (Dest, Endpoint where routes are apart)
+	Back                 // it ended: the route is cold (Dest, Endpoint)
+	Saw                  // a sender was told of a call or probe there that failed or was refused (Dest, Endpoint)
+	Fell                 // a cold route was pushed over (Dest, Endpoint, Pushes)
+	Died                 // a sender's process ended, or was told to
+	Ready                // it is ready again
+)
+
+// Outcome says how a call or one of its messages ended, as its target did.
+type Outcome uint8
+
+// The outcomes.
+const (
+	Delivered Outcome = iota
+	Failed            // it may have run
+	NeverRan          // proved: refused, not connected, not sent
+	Over              // the target's side says that nothing more is owed
+)
+
+// Event is one line of a ledger. Lines are in the order of their times.
+type Event struct {
+	At       time.Duration      `json:"at"`
+	What     What               `json:"what"`
+	Sender   int                `json:"sender,omitempty"`
+	Message  string             `json:"message,omitempty"`
+	Messages []string           `json:"messages,omitempty"`
+	Class    int                `json:"class,omitempty"`
+	Dest     int                `json:"dest,omitempty"`
+	Left     time.Duration      `json:"left,omitempty"`
+	Key      string             `json:"key,omitempty"`
+	Call     uint64             `json:"call,omitempty"`
+	Endpoint string             `json:"endpoint,omitempty"`
+	Zone     int                `json:"zone,omitempty"`
+	Outcome  Outcome            `json:"outcome,omitempty"`
+	Ends     map[string]Outcome `json:"ends,omitempty"`
+	Wait     time.Duration      `json:"wait,omitempty"`
+	Deferred bool               `json:"deferred,omitempty"`
+	Leaves   bool               `json:"leaves,omitempty"` // it drains or is gone
+	Pushes   map[int]int        `json:"pushes,omitempty"`
+}
+
+// Rule is one of the rules.
+type Rule string
+
+// The rules.
+const (
+	Lost     Rule = "every message taken on ends once, in time"
+	Repeated Rule = "a message that may have run is repeated only as its class allows"
+	Drained  Rule = "nothing new to an endpoint that drains or is gone"
+	Pushed   Rule = "no returning partner is pushed over by those that saw it fail"
+	Waited   Rule = "nothing to a partner before the end of a wait that it told"
+	WrongWay Rule = "a message goes to an endpoint of its destination"
+)
+
+// Break is one break of a rule.
+type Break struct {
+	Rule    Rule            `json:"rule"`
+	At      time.Duration   `json:"at"`
+	Sender  int             `json:"sender"`
+	Message string          `json:"message,omitempty"`
+	Calls   []uint64        `json:"calls,omitempty"`
+	Times   []time.Duration `json:"times,omitempty"` // what it follows from, in order
+	Text    string          `json:"text"`
+}
+
+// Effect is what a class allows.
+type Effect uint8
+
+// The effects.
+const (
+	Safe Effect = iota
+	Keyed
+	Unsafe
+)
+
+// Class is what the rules need of a class.
+type Class struct {
+	Effect Effect
+	Memory time.Duration // keyed
+	Zoned  bool          // keyed: repeats are dropped within one zone only
+}
+
+// Terms are the figures of the rules. Those of PROTOCOL are defaults of Sockets.
+type Terms struct {
+	Classes     []Class
+	Apart       map[int]bool  // destinations whose endpoints are routes apart
+	AnswerSlack time.Duration // a message may end so long after its time
+	ReadySlack  time.Duration // none is overdue from a sender's end until so long after it is ready again
+	DrainGrace  time.Duration
+	WaitSlack   time.Duration // calls so soon after the answer that told a wait get through
+	PushShare   float64       // of the pushes, by senders that saw the outage
+}
+
+// Sockets are the figures for real senders, where only the drain's grace differs
+// by deployment.
+func Sockets(classes []Class, drainGrace time.Duration) Terms {
+	return Terms{
+		Classes: classes, Apart: map[int]bool{}, AnswerSlack: 300 * time.Millisecond, ReadySlack: 1500 * time.Millisecond,
+		DrainGrace: drainGrace + 50*time.Millisecond, WaitSlack: 100 * time.Millisecond, PushShare: 2.0 / 3,
+	}
+}
--- /dev/null
+++ b/internal/scenario/load.go
@@ -0,0 +1,435 @@
+package scenario
+
+import (
+	"errors"
+	"fmt"
+	"maps"
+	"os"
+	"slices"
+	"time"
+
+	"go.starlark.net/starlark"
+
+	"cleathold/internal/partner"
+	"cleathold/internal/settings"
+)
+
+// Load reads a script.
+func Load(path string) (*Scenario, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("scenario: %w", err)
+	}
+	return Parse(path, text)
+}
+
+// Parse reads a script's text and checks it. Errors name file, line and column.
+func Parse(path string, text []byte) (*Scenario, error) {
+	s := &Scenario{
+		Path: path, Senders: 1, Slots: Range{1.8, 2.4}, Hold: Range{7, 11},
+		Traffic: Traffic{
+			Zipf: Range{0.8, 1.15}, Clump: Range{1, 3}, RetryIn: Range{0.3, 2}, AgainIn: Range{0.8, 2}, Body: Range{100, 400},
+			Patience: 400 * time.Millisecond,
+		},
+	}
+	names := starlark.StringDict{}
+	for word := range modes {
+		names[word] = starlark.String(word)
+	}
+	for name, f := range map[string]func(*args) error{
+		"scenario": s.setScenario, "kind": s.addKind, "fleet": s.addFleet, "traffic": s.setTraffic, "message_class": s.addClass,
+		"tenant": s.addTenant, "trouble": s.addTrouble, "burst": s.addBurst, "hot": s.addHot, "sender": s.addDeed, "churn": s.addChurn,
+		"ramp": s.addRamp,
+	} {
+		names[name] = starlark.NewBuiltin(name, func(_ *starlark.Thread, b *starlark.Builtin, given starlark.Tuple, named []starlark.Tuple) (starlark.Value, error) {
+			if len(given) > 0 {
+				return nil, fmt.Errorf("%s: arguments go by name", b.Name())
+			}
+			a := &args{name: b.Name(), given: map[string]starlark.Value{}}
+			for _, pair := range named {
+				a.given[string(pair[0].(starlark.String))] = pair[1]
+			}
+			if err := f(a); err != nil {
+				return nil, fmt.Errorf("%s: %w", b.Name(), err)
+			}
+			return starlark.None, a.done()
+		})
+	}
+	if _, err := settings.Exec(path, text, names); err != nil {
+		return nil, err
+	}
+	if err := s.check(); err != nil {
+		return nil, &settings.Error{File: path, Text: err.Error()}
+	}
+	return s, nil
+}
+
+// modes are the words for what may ail a partner.
+var modes = map[string]partner.Mode{
+	"DOWN": partner.Down, "SHUT": partner.Shut, "SILENT": partner.Silent, "FAILING": partner.Failing, "SLOW": partner.Slow,
+	"PAUSED": partner.Paused, "BREAKING": partner.Breaking, "SPOILING": partner.Spoiling,
+}
+
+// args are the arguments of a call, taken by name.
+type args struct {
+	name  string
+	given map[string]starlark.Value
+	err   error
+}
+
+// take returns an argument, which is then known.
+func (a *args) take(name string) (starlark.Value, bool) {
+	v, ok := a.given[name]
+	delete(a.given, name)
+	return v, ok
+}
+
+func (a *args) fail(name, want string, v starlark.Value) {
+	if a.err == nil {
+		a.err = fmt.Errorf("%s: got %s, want %s", name, v.Type(), want)
+	}
+}
+
+// done tells what was wrong, or an argument that is not known.
+func (a *args) done() error {
+	if a.err != nil {
+		return fmt.Errorf("%s: %w", a.name, a.err)
+	}
+	if len(a.given) > 0 {
+		return fmt.Errorf("%s: unexpected argument %q", a.name, slices.Min(slices.Collect(maps.Keys(a.given))))
+	}
+	return nil
+}
+
+func (a *args) number(name string, to *float64) {
+	if v, ok := a.take(name); ok {
+		f, isNumber := starlark.AsFloat(v)
+		if !isNumber {
+			a.fail(name, "a number", v)
+		}
+		*to = f
+	}
+}
+
+func (a *args) count(name string, to *int) {
+	if v, ok := a.take(name); ok {
+		i, err := starlark.AsInt32(v)
+		if err != nil {
+			a.fail(name, "a whole number", v)
+		}
+		*to = i
+	}
+}
+
+func (a *args) span(name string, to *time.Duration) {
+	f := to.Seconds()
+	a.number(name, &f)
+	if f < 0 || f > 1e7 || f != f {
+		a.err = errors.Join(a.err, fmt.Errorf("%s: seconds from 0 to 10,000,000", name))
+		return
+	}
+	*to = time.Duration(f * float64(time.Second))
+}
+
+// between takes a number, or two as a range.
+func (a *args) between(name string, to *Range) {
+	v, ok := a.take(name)
+	if !ok {
+		return
+	}
+	if f, isNumber := starlark.AsFloat(v); isNumber {
+		*to = Range{f, f}
+	} else if pair, isPair := v.(starlark.Tuple); isPair && len(pair) == 2 {
+		from, ok1 := starlark.AsFloat(pair[0])
+		top, ok2 := starlark.AsFloat(pair[1])
+		if !ok1 || !ok2 {
+			a.fail(name, "two numbers", v)
+		}
+		*to = Range{from, top}
+	} else {
+		a.fail(name, "a number or (from, to)", v)
+	}
+	if a.err == nil && !(to.From >= 0 && to.To >= to.From && to.To < 1e12) {
+		a.err = fmt.Errorf("%s: a range from 0 up, its ends in order", name)
+	}
+}
+
+func (a *args) text(name string, to *string) {
+	if v, ok := a.take(name); ok {
+		s, isText := starlark.AsString(v)
+		if !isText {
+			a.fail(name, "a string", v)
+		}
+		*to = s
+	}
+}
+
+func (a *args) yes(name string, to *bool) {
+	if v, ok := a.take(name); ok {
+		b, isBool := v.(starlark.Bool)
+		if !isBool {
+			a.fail(name, "True or False", v)
+		}
+		*to = bool(b)
+	}
+}
+
+func (s *Scenario) setScenario(a *args) error {
+	if s.Name != "" {
+		return errors.New("called twice")
+	}
+	a.text("name", &s.Name)
+	a.span("seconds", &s.Length)
+	a.count("senders", &s.Senders)
+	a.between("slots", &s.Slots)
+	a.between("hold", &s.Hold)
+	if v, ok := a.take("zones"); ok {
+		list, isList := v.(*starlark.List)
+		if !isList {
+			a.fail("zones", "a list", v)
+			return a.err
+		}
+		for i := range list.Len() {
+			z, _ := starlark.AsString(list.Index(i))
+			s.Zones = append(s.Zones, z)
+		}
+	}
+	return a.err
+}
+
+func (s *Scenario) addKind(a *args) error {
+	k := Kind{
+		Headroom: Range{1.3, 2}, Least: Range{2, 4}, Span: time.Second, Spare: Range{1.15, 1.6}, Depth: Range{0.3, 1}, CV: Range{0.3, 0.8},
+		Batch: 1, ItemCost: Range{0.05, 0.25}, LeastConn: Range{6, 16}, Endpoints: Range{2, 2.3}, Wait: Range{0.3, 1},
+	}
+	form := "rate"
+	a.text("name", &k.Name)
+	a.text("limit", &form)
+	a.between("headroom", &k.Headroom)
+	a.between("least", &k.Least)
+	a.span("span", &k.Span)
+	a.yes("refused_count", &k.Counts)
+	a.between("tells_wait", &k.TellsWait)
+	a.between("wait", &k.Wait)
+	a.between("spare", &k.Spare)
+	a.between("depth", &k.Depth)
+	a.between("cv", &k.CV)
+	a.count("batch", &k.Batch)
+	a.between("item_cost", &k.ItemCost)
+	a.yes("apart", &k.Apart)
+	a.between("conns", &k.Conns)
+	a.between("least_conns", &k.LeastConn)
+	a.between("endpoints", &k.Endpoints)
+	switch form {
+	case "rate":
+		k.Form = partner.Rate
+	case "window":
+		k.Form = partner.Window
+	case "none":
+		k.Form = partner.NoLimit
+	default:
+		return fmt.Errorf("limit: %q is none of rate, window and none", form)
+	}
+	if k.Name == "" || k.Batch < 1 || k.Span <= 0 || k.TellsWait.To > 1 || k.Endpoints.From < 1 || k.Spare.From < 1 {
+		return errors.Join(a.err, errors.New("name, batch, span, tells_wait (0 to 1), endpoints (1 up) or spare (1 up) out of range"))
+	}
+	s.Kinds = append(s.Kinds, k)
+	return a.err
+}
+
+func (s *Scenario) addFleet(a *args) error {
+	f := Fleet{Weight: 1, Destinations: Range{10, 10}}
+	a.text("kind", &f.Kind)
+	a.between("destinations", &f.Destinations)
+	a.number("weight", &f.Weight)
+	if f.Destinations.From < 1 || f.Destinations.To > 100_000 || !(f.Weight > 0) {
+		return errors.Join(a.err, errors.New("destinations: 1 to 100,000; weight: above 0"))
+	}
+	s.Fleets = append(s.Fleets, f)
+	return a.err
+}
+
+func (s *Scenario) setTraffic(a *args) error {
+	t := &s.Traffic
+	a.between("rate", &t.Rate)
+	a.between("zipf", &t.Zipf)
+	a.between("clumps", &t.Clumps)
+	a.between("clump", &t.Clump)
+	a.count("retries", &t.Retries)
+	a.between("retry_in", &t.RetryIn)
+	a.between("again_in", &t.AgainIn)
+	a.between("body", &t.Body)
+	a.span("patience", &t.Patience)
+	if t.Clumps.To > 1 || t.Retries < 0 || t.Retries > 100 || t.Body.To > 64<<10 {
+		return errors.Join(a.err, errors.New("clumps: 0 to 1; retries: 0 to 100; body: 65,536 bytes at most"))
+	}
+	return a.err
+}
+
+func (s *Scenario) addClass(a *args) error {
+	c := Class{Worth: 1, Effect: "safe"}
+	a.text("name", &c.Name)
+	a.number("share", &c.Share)
+	a.between("service", &c.Service)
+	a.span("aim", &c.Aim)
+	a.span("deadline", &c.Deadline)
+	a.text("effect", &c.Effect)
+	a.span("memory", &c.Memory)
+	a.number("late", &c.Late)
+	a.number("worth", &c.Worth)
+	switch {
+	case c.Effect != "safe" && c.Effect != "keyed" && c.Effect != "unsafe":
+		return fmt.Errorf("effect: %q is none of safe, keyed and unsafe", c.Effect)
+	case c.Effect == "keyed" && c.Memory <= 0:
+		return errors.New("a keyed class needs its memory")
+	case c.Name == "" || !(c.Share > 0) || c.Service.From <= 0 || c.Aim <= 0 || c.Deadline <= c.Aim:
+		return errors.Join(a.err, errors.New("name, share, service, aim and a deadline after it are needed"))
+	}
+	s.Traffic.Classes = append(s.Traffic.Classes, c)
+	return a.err
+}
+
+func (s *Scenario) addTenant(a *args) error {
+	var t Tenant
+	a.text("name", &t.Name)
+	a.number("share", &t.Share)
+	if t.Name == "" || !(t.Share > 0) {
+		return errors.Join(a.err, errors.New("name and a share above 0 are needed"))
+	}
+	s.Traffic.Tenants = append(s.Traffic.Tenants, t)
+	return a.err
+}
+
+func (s *Scenario) addRamp(a *args) error {
+	var p RampPoint
+	a.span("at", &p.At)
+	a.number("factor", &p.Factor)
+	if n := len(s.Traffic.Ramp); p.Factor < 0 || n > 0 && p.At <= s.Traffic.Ramp[n-1].At {
+		return errors.Join(a.err, errors.New("points in the order of their times, factors from 0 up"))
+	}
+	s.Traffic.Ramp = append(s.Traffic.Ramp, p)
+	return a.err
+}
+
+func (s *Scenario) addTrouble(a *args) error {
+	t := Trouble{Dest: -1, Share: Range{1, 1}, Factor: Range{2, 2}, Part: Range{1, 1}}
+	var what string
+	a.text("what", &what)
+	a.between("at", &t.At)
+	a.between("seconds", &t.Length)
+	a.between("share", &t.Share)
+	a.between("factor", &t.Factor)
+	a.between("part", &t.Part)
+	a.text("zone", &t.Zone)
+	a.text("kind", &t.Kind)
+	a.count("destination", &t.Dest)
+	a.yes("knows_end", &t.Knows)
+	mode, known := modes[what]
+	switch {
+	case !known:
+		return fmt.Errorf("what: %q is no trouble", what)
+	case t.Share.To > 1 || t.Part.To > 1 || t.Length.From <= 0 || t.Factor.From <= 0:
+		return errors.Join(a.err, errors.New("share and part: 0 to 1; seconds and factor: above 0"))
+	}
+	t.Mode = mode
+	s.Troubles = append(s.Troubles, t)
+	return a.err
+}
+
+func (s *Scenario) addBurst(a *args) error {
+	var b Burst
+	a.between("at", &b.At)
+	a.between("seconds", &b.Length)
+	a.between("factor", &b.Factor)
+	if b.Length.From <= 0 || b.Factor.From < 1 {
+		return errors.Join(a.err, errors.New("seconds above 0 and a factor from 1 up are needed"))
+	}
+	s.Bursts = append(s.Bursts, b)
+	return a.err
+}
+
+func (s *Scenario) addHot(a *args) error {
+	h := Hot{Keys: 1}
+	a.between("at", &h.At)
+	a.between("seconds", &h.Length)
+	a.between("share", &h.Share)
+	a.count("destinations", &h.Keys)
+	if h.Length.From <= 0 || h.Share.From <= 0 || h.Share.To >= 1 || h.Keys < 1 {
+		return errors.Join(a.err, errors.New("seconds above 0, a share between 0 and 1, and destinations from 1 up are needed"))
+	}
+	s.Hot = append(s.Hot, h)
+	return a.err
+}
+
+func (s *Scenario) addDeed(a *args) error {
+	var d Deed
+	a.between("at", &d.At)
+	a.count("number", &d.Sender)
+	a.text("what", &d.What)
+	if d.What != "kill" && d.What != "term" && d.What != "hup" {
+		return errors.Join(a.err, fmt.Errorf("what: %q is none of kill, term and hup", d.What))
+	}
+	s.Deeds = append(s.Deeds, d)
+	return a.err
+}
+
+func (s *Scenario) addChurn(a *args) error {
+	c := Churn{Drain: 3 * time.Second}
+	a.between("at", &c.At)
+	a.span("every", &c.Every)
+	a.span("drain", &c.Drain)
+	a.yes("reuse_address", &c.Reuse)
+	if c.Every > 0 && c.Every < 100*time.Millisecond {
+		return errors.Join(a.err, errors.New("every: 0.1 s at the least"))
+	}
+	s.Churns = append(s.Churns, c)
+	return a.err
+}
+
+// check looks at what only the whole script shows.
+func (s *Scenario) check() error {
+	kinds, zones := map[string]bool{}, map[string]bool{"": true}
+	for _, k := range s.Kinds {
+		if kinds[k.Name] {
+			return fmt.Errorf("two kinds of name %q", k.Name)
+		}
+		kinds[k.Name] = true
+	}
+	for _, z := range s.Zones {
+		zones[z] = true
+	}
+	switch {
+	case s.Name == "":
+		return errors.New("call scenario(name = ..., seconds = ...)")
+	case s.Length <= 0:
+		return errors.New("scenario: seconds above 0 are needed")
+	case s.Senders < 1 || s.Senders > 10_000:
+		return errors.New("scenario: senders: 1 to 10,000")
+	case len(s.Zones) == 0 || len(s.Zones) > 255:
+		return errors.New("scenario: zones = [...] is needed")
+	case len(s.Fleets) == 0:
+		return errors.New("no fleet(kind = ..., destinations = ...)")
+	case len(s.Traffic.Classes) == 0:
+		return errors.New("no message_class(...)")
+	case len(s.Traffic.Tenants) == 0:
+		return errors.New("no tenant(...)")
+	case !(s.Traffic.Rate.From > 0):
+		return errors.New("traffic: a rate above 0 is needed")
+	}
+	for _, f := range s.Fleets {
+		if !kinds[f.Kind] {
+			return fmt.Errorf("fleet: no kind %q", f.Kind)
+		}
+	}
+	for _, t := range s.Troubles {
+		if !zones[t.Zone] || t.Kind != "" && !kinds[t.Kind] {
+			return fmt.Errorf("trouble: no zone %q or no kind %q", t.Zone, t.Kind)
+		}
+	}
+	for _, d := range s.Deeds {
+		if d.Sender < 0 || d.Sender >= s.Senders {
+			return fmt.Errorf("sender: no number %d", d.Sender)
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/scenario/plan.go
@@ -0,0 +1,461 @@
+package scenario
+
+import (
+	"cmp"
+	"container/heap"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"cleathold/internal/partner"
+)
+
+// Plan is a scenario with everything drawn but its messages, which Arrivals draws
+// as they are asked for.
+type Plan struct {
+	Scenario *Scenario
+	Seed     uint64
+	Rate     float64 // messages a second at full load
+	Dests    []Destination
+	Changes  []Change
+	Deeds    []PlannedDeed
+	bursts   []window
+	hots     []window
+	clumps   float64
+	clump    Range
+}
+
+// Destination is a partner system that was drawn.
+type Destination struct {
+	partner.Spec
+	Share float64 // of the messages
+	Told  float64 // the rough rate that the list tells, in calls a second
+}
+
+// Change is a trouble that comes to an endpoint or leaves it, or a replacement.
+type Change struct {
+	At       time.Duration
+	Endpoint string
+	Trouble  partner.Trouble
+	Of       int                   // the scenario's trouble; below 0 = a replacement
+	Drains   bool                  // the endpoint drains from now on
+	Leaves   bool                  // it is gone
+	Joins    *partner.EndpointSpec // it comes, to Dest...
+	Dest     int
+	Address  string // ...at the address of this one; empty = a new one
+}
+
+// PlannedDeed is something done to a sender.
+type PlannedDeed struct {
+	At     time.Duration
+	Sender int
+	What   string
+}
+
+// A window is a burst or a hot time.
+type window struct {
+	from, to time.Duration
+	size     float64
+	keys     int
+}
+
+// The random streams: a change of one part of a script leaves the others' draws.
+const (
+	drawFleet = iota + 1
+	drawTrouble
+	drawTraffic
+	drawWindows
+	drawDeeds
+	drawChurn
+)
+
+func stream(seed, part uint64) *rand.Rand { return rand.New(rand.NewPCG(seed, part)) }
+
+func (r Range) draw(rng *rand.Rand) float64 { return r.From + (r.To-r.From)*rng.Float64() }
+
+func (r Range) seconds(rng *rand.Rand) time.Duration {
+	return time.Duration(r.draw(rng) * float64(time.Second))
+}
+
+// Mean is the middle of a range.
+func (r Range) Mean() float64 { return (r.From + r.To) / 2 }
+
+// Plan draws a plan.
+func (s *Scenario) Plan(seed uint64) *Plan {
+	p := &Plan{Scenario: s, Seed: seed}
+	p.drawFleet(stream(seed, drawFleet))
+	p.drawTroubles(stream(seed, drawTrouble))
+	p.drawWindows(stream(seed, drawWindows))
+	rng := stream(seed, drawDeeds)
+	for _, d := range s.Deeds {
+		p.Deeds = append(p.Deeds, PlannedDeed{d.At.seconds(rng), d.Sender, d.What})
+	}
+	slices.SortStableFunc(p.Deeds, func(a, b PlannedDeed) int { return cmp.Compare(a.At, b.At) })
+	p.drawChurns(stream(seed, drawChurn))
+	slices.SortStableFunc(p.Changes, func(a, b Change) int { return cmp.Compare(a.At, b.At) })
+	return p
+}
+
+// drawFleet draws the destinations: much of the traffic goes to a few.
+func (p *Plan) drawFleet(rng *rand.Rand) {
+	s := p.Scenario
+	p.Rate = s.Traffic.Rate.draw(rng)
+	p.clumps, p.clump = s.Traffic.Clumps.draw(rng), s.Traffic.Clump
+	type slot struct {
+		kind   *Kind
+		weight float64
+	}
+	var slots []slot
+	zipf := s.Traffic.Zipf.draw(rng)
+	for _, f := range s.Fleets {
+		n := int(math.Round(f.Destinations.draw(rng)))
+		k := &s.Kinds[slices.IndexFunc(s.Kinds, func(k Kind) bool { return k.Name == f.Kind })]
+		sum := 0.0
+		from := len(slots)
+		for i := range n {
+			slots = append(slots, slot{k, math.Pow(float64(i+1), -zipf)})
+			sum += slots[from+i].weight
+		}
+		for i := range n {
+			slots[from+i].weight *= f.Weight / sum
+		}
+	}
+	total, largest := 0.0, 0.0
+	for _, x := range slots {
+		total, largest = total+x.weight, max(largest, x.weight)
+	}
+	work, shares := 0.0, 0.0
+	for _, c := range s.Traffic.Classes {
+		work += c.Share * c.Service.Mean()
+		shares += c.Share
+	}
+	endpoints := 0
+	for i, x := range slots {
+		k, share := x.kind, x.weight/total
+		load := share * p.Rate // calls a second at full load
+		d := Destination{Share: share}
+		pace := math.Exp(0.4 * rng.NormFloat64()) // they answer at very different speeds
+		d.Dest, d.Kind, d.Apart, d.Batch = i+1, k.Name, k.Apart, k.Batch
+		d.Mean = time.Duration(work / shares * pace * float64(time.Second))
+		d.CV, d.ItemCost = k.CV.draw(rng), k.ItemCost.draw(rng)
+		n := int(math.Round(k.Endpoints.draw(rng) * (0.8 + 0.8*x.weight/largest)))
+		n = min(max(1, n), 4)
+		limit := max(k.Headroom.draw(rng)*load, k.Least.draw(rng))
+		if k.Apart {
+			limit /= float64(n)
+		}
+		d.Limit = partner.Limit{Form: k.Form, PerSecond: limit, Span: k.Span, Burst: 200 * time.Millisecond, CountRefused: k.Counts}
+		d.TellsWait, d.Wait = k.TellsWait.draw(rng), k.Wait.seconds(rng)
+		parts := float64(n)
+		if k.Apart {
+			parts = 1 // each has the capacity of its own limit
+		}
+		capacity := limit * k.Spare.draw(rng) / parts
+		d.Servers = max(1, int(math.Ceil(capacity*d.Mean.Seconds())))
+		d.Depth = max(1, int(math.Ceil(capacity*k.Depth.draw(rng))))
+		if k.Conns.To > 0 {
+			d.Conns = int(math.Ceil(max(k.Conns.draw(rng)*float64(d.Servers), k.LeastConn.draw(rng))))
+		}
+		d.ConnCost = 10 * time.Millisecond
+		for _, c := range s.Traffic.Classes {
+			d.KeyMemory = max(d.KeyMemory, c.Memory)
+		}
+		d.ColdFrom, d.Cold, d.FallMultiple, d.FallWindow = 0.22, 13*time.Second, 2, 2*time.Second
+		for range n {
+			endpoints++
+			d.Endpoints = append(d.Endpoints, partner.EndpointSpec{ID: fmt.Sprintf("e%05d", endpoints), Zone: rng.IntN(len(s.Zones))})
+		}
+		d.Told = limit * parts * (0.85 + 0.3*rng.Float64())
+		if k.Form == partner.NoLimit {
+			d.Told = 0
+		}
+		p.Dests = append(p.Dests, d)
+	}
+}
+
+// drawTroubles chooses whom a trouble strikes: as many destinations as its part of
+// the traffic allows, the one that was drawn first in any case.
+func (p *Plan) drawTroubles(rng *rand.Rand) {
+	for i, t := range p.Scenario.Troubles {
+		from := t.At.seconds(rng)
+		to := from + t.Length.seconds(rng)
+		trouble := partner.Trouble{Mode: t.Mode, Share: t.Share.draw(rng), Factor: t.Factor.draw(rng)}
+		if t.Knows {
+			trouble.Until = to
+		}
+		part, struck := t.Part.draw(rng), 0.0
+		for _, n := range rng.Perm(len(p.Dests)) {
+			d := &p.Dests[n]
+			var hit []string
+			for _, e := range d.Endpoints {
+				if t.Zone == "" || p.Scenario.Zones[e.Zone] == t.Zone {
+					hit = append(hit, e.ID)
+				}
+			}
+			share := d.Share * float64(len(hit)) / float64(len(d.Endpoints))
+			wrong := t.Kind != "" && d.Kind != t.Kind || t.Dest >= 0 && d.Dest != t.Dest
+			if len(hit) == 0 || wrong || struck > 0 && struck+share > part {
+				continue
+			}
+			struck += share
+			for _, id := range hit {
+				p.Changes = append(p.Changes, Change{At: from, Endpoint: id, Trouble: trouble, Of: i}, Change{At: to, Endpoint: id, Of: i})
+			}
+		}
+	}
+}
+
+func (p *Plan) drawWindows(rng *rand.Rand) {
+	for _, b := range p.Scenario.Bursts {
+		from := b.At.seconds(rng)
+		p.bursts = append(p.bursts, window{from, from + b.Length.seconds(rng), b.Factor.draw(rng), 0})
+	}
+	for _, h := range p.Scenario.Hot {
+		from := h.At.seconds(rng)
+		p.hots = append(p.hots, window{from, from + h.Length.seconds(rng), h.Share.draw(rng), h.Keys})
+	}
+}
+
+// drawChurns replaces endpoints, one after another, none twice.
+func (p *Plan) drawChurns(rng *rand.Rand) {
+	serial := 0
+	gone := map[string]bool{}
+	for _, c := range p.Scenario.Churns {
+		at := c.At.seconds(rng)
+		for at < p.Scenario.Length {
+			d := &p.Dests[rng.IntN(len(p.Dests))]
+			e := d.Endpoints[rng.IntN(len(d.Endpoints))]
+			if !gone[e.ID] {
+				gone[e.ID] = true
+				serial++
+				fresh := &partner.EndpointSpec{ID: fmt.Sprintf("n%05d", serial), Zone: e.Zone}
+				address := ""
+				if c.Reuse {
+					address = e.ID
+				}
+				p.Changes = append(p.Changes,
+					Change{At: at, Endpoint: e.ID, Dest: d.Dest, Of: -1, Drains: true},
+					Change{At: at + c.Drain, Endpoint: e.ID, Dest: d.Dest, Of: -1, Leaves: true},
+					Change{At: at + c.Drain, Endpoint: fresh.ID, Dest: d.Dest, Of: -1, Joins: fresh, Address: address})
+			}
+			if c.Every <= 0 {
+				break
+			}
+			at += c.Every
+		}
+	}
+}
+
+// Load is the rate of messages at a time, as a multiple of the full load.
+func (p *Plan) Load(at time.Duration) float64 {
+	x := 1.0
+	if ramp := p.Scenario.Traffic.Ramp; len(ramp) > 0 {
+		i, _ := slices.BinarySearchFunc(ramp, at, func(r RampPoint, at time.Duration) int { return cmp.Compare(r.At, at) })
+		switch {
+		case i == 0:
+			x = ramp[0].Factor
+		case i == len(ramp):
+			x = ramp[i-1].Factor
+		default:
+			a, b := ramp[i-1], ramp[i]
+			x = a.Factor + (b.Factor-a.Factor)*float64(at-a.At)/float64(b.At-a.At)
+		}
+	}
+	for _, b := range p.bursts {
+		if at >= b.from && at < b.to {
+			x *= b.size
+		}
+	}
+	return x
+}
+
+// peak is a rate that Load never passes.
+func (p *Plan) peak() float64 {
+	x := 1.0
+	if ramp := p.Scenario.Traffic.Ramp; len(ramp) > 0 {
+		x = 0
+		for _, r := range ramp {
+			x = max(x, r.Factor)
+		}
+	}
+	for _, b := range p.bursts {
+		x *= max(1, b.size)
+	}
+	return x
+}
+
+// Arrival is one message that a client hands in for the first time.
+type Arrival struct {
+	At     time.Duration
+	N      int // counts from 0
+	Dest   int
+	Class  int
+	Tenant int
+	Size   int
+}
+
+// Arrivals draws the messages of a plan, one after another, in memory that does
+// not grow with them.
+type Arrivals struct {
+	p       *Plan
+	rng     *rand.Rand
+	byShare []float64 // sums of the shares
+	classes []float64
+	tenants []float64
+	large   []int // destinations, those with most traffic first
+	single  time.Duration
+	clump   time.Duration
+	ahead   crowd
+	n       int
+}
+
+// A clump is what is still to come of one.
+type clump struct {
+	at    time.Duration
+	dest  int
+	left  int
+	order int
+}
+
+type crowd []clump
+
+func (c crowd) Len() int { return len(c) }
+func (c crowd) Less(i, j int) bool {
+	return c[i].at < c[j].at || c[i].at == c[j].at && c[i].order < c[j].order
+}
+func (c crowd) Swap(i, j int) { c[i], c[j] = c[j], c[i] }
+func (c *crowd) Push(x any)   { *c = append(*c, x.(clump)) }
+func (c *crowd) Pop() any {
+	old := *c
+	x := old[len(old)-1]
+	*c = old[:len(old)-1]
+	return x
+}
+
+// Arrivals starts at the first message.
+func (p *Plan) Arrivals() *Arrivals {
+	a := &Arrivals{p: p, rng: stream(p.Seed, drawTraffic)}
+	sum := 0.0
+	for i, d := range p.Dests {
+		sum += d.Share
+		a.byShare = append(a.byShare, sum)
+		a.large = append(a.large, i)
+	}
+	slices.SortStableFunc(a.large, func(i, j int) int { return cmp.Compare(p.Dests[j].Share, p.Dests[i].Share) })
+	sum = 0
+	for _, c := range p.Scenario.Traffic.Classes {
+		sum += c.Share
+		a.classes = append(a.classes, sum)
+	}
+	sum = 0
+	for _, t := range p.Scenario.Traffic.Tenants {
+		sum += t.Share
+		a.tenants = append(a.tenants, sum)
+	}
+	a.single = a.after(0, p.Rate*(1-p.clumps))
+	a.clump = a.after(0, a.clumpRate())
+	return a
+}
+
+// clumpRate is the clumps a second that bring their part of the messages.
+func (a *Arrivals) clumpRate() float64 {
+	size := 0.0 // of a clump, in the mean
+	for _, d := range a.p.Dests {
+		size += d.Share * max(1, a.p.clump.Mean()*a.takes(&d))
+	}
+	return a.p.Rate * a.p.clumps / size
+}
+
+// takes is the calls a second that a destination takes.
+func (a *Arrivals) takes(d *Destination) float64 {
+	if d.Limit.Form == partner.NoLimit {
+		return float64(d.Servers*len(d.Endpoints)) / d.Mean.Seconds()
+	}
+	return d.Limit.PerSecond
+}
+
+// after draws the time of the next event of a Poisson process whose rate follows
+// the load, by thinning.
+func (a *Arrivals) after(at time.Duration, rate float64) time.Duration {
+	peak := a.p.peak()
+	if rate*peak <= 0 {
+		return math.MaxInt64
+	}
+	for {
+		at += time.Duration(a.rng.ExpFloat64() / (rate * peak) * float64(time.Second))
+		if at > a.p.Scenario.Length || a.rng.Float64()*peak < a.p.Load(at) {
+			return at
+		}
+	}
+}
+
+// choose draws by sums of shares.
+func (a *Arrivals) choose(sums []float64) int {
+	i, _ := slices.BinarySearch(sums, a.rng.Float64()*sums[len(sums)-1])
+	return min(i, len(sums)-1)
+}
+
+// dest draws a destination; a hot time draws some of all to the largest.
+func (a *Arrivals) dest(at time.Duration) int {
+	for _, h := range a.p.hots {
+		if at >= h.from && at < h.to && a.rng.Float64() < h.size {
+			return a.large[a.rng.IntN(min(h.keys, len(a.large)))]
+		}
+	}
+	return a.choose(a.byShare)
+}
+
+// Next returns the next message; false after the last.
+func (a *Arrivals) Next() (Arrival, bool) {
+	for {
+		at := a.single
+		from := 0
+		if a.clump < at {
+			at, from = a.clump, 1
+		}
+		if len(a.ahead) > 0 && a.ahead[0].at <= at {
+			at, from = a.ahead[0].at, 2
+		}
+		if at > a.p.Scenario.Length {
+			return Arrival{}, false
+		}
+		dest := 0
+		switch from {
+		case 0:
+			a.single = a.after(at, a.p.Rate*(1-a.p.clumps))
+			dest = a.dest(at)
+		case 1: // a clump begins: its messages come one close after the other
+			a.clump = a.after(at, a.clumpRate())
+			d := a.choose(a.byShare)
+			size := max(1, int(math.Round(a.p.clump.draw(a.rng)*a.takes(&a.p.Dests[d]))))
+			heap.Push(&a.ahead, clump{at, d, size, a.n})
+			continue
+		case 2:
+			c := heap.Pop(&a.ahead).(clump)
+			dest = c.dest
+			if c.left--; c.left > 0 {
+				c.at += time.Duration(a.rng.ExpFloat64() * 2 * float64(time.Millisecond))
+				heap.Push(&a.ahead, c)
+			}
+		}
+		m := Arrival{
+			At: at, N: a.n, Dest: a.p.Dests[dest].Dest, Class: a.choose(a.classes), Tenant: a.choose(a.tenants),
+			Size: int(a.p.Scenario.Traffic.Body.draw(a.rng)),
+		}
+		a.n++
+		return m, true
+	}
+}
+
+// Model makes the partners of a plan.
+func (p *Plan) Model() (*partner.Model, error) {
+	m := partner.New(p.Seed)
+	for i := range p.Dests {
+		if err := m.Add(p.Dests[i].Spec); err != nil {
+			return nil, err
+		}
+	}
+	return m, nil
+}
--- /dev/null
+++ b/internal/scenario/scenario.go
@@ -0,0 +1,141 @@
+// Package scenario reads rehearsals: a script in the project's Starlark that says
+// which partners there are, what traffic comes and what goes wrong, in ranges. A
+// scenario and a seed make a Plan, in which everything is drawn: the same seed, the
+// same plan. It does no I/O but to read the script.
+package scenario
+
+import (
+	"time"
+
+	"cleathold/internal/partner"
+)
+
+// Range is a figure that is drawn evenly between two ends.
+type Range struct{ From, To float64 }
+
+// Scenario is what a script says.
+type Scenario struct {
+	Path     string
+	Name     string
+	Length   time.Duration
+	Senders  int
+	Zones    []string
+	Kinds    []Kind
+	Fleets   []Fleet
+	Traffic  Traffic
+	Troubles []Trouble
+	Bursts   []Burst
+	Hot      []Hot
+	Deeds    []Deed
+	Churns   []Churn
+	Slots    Range // a sender's slots, as a multiple of what its part of the load keeps busy
+	Hold     Range // seconds of its load that a sender may hold
+}
+
+// Kind describes a kind of destination. Ranges are drawn for each destination.
+type Kind struct {
+	Name      string
+	Form      partner.LimitForm
+	Headroom  Range // the limit, as a multiple of the calls at full load
+	Least     Range // and so many calls a second at least
+	Span      time.Duration
+	Counts    bool  // refused calls use up the limit
+	TellsWait Range // part of the refusals
+	Wait      Range // seconds
+	Spare     Range // capacity over the limit
+	Depth     Range // of the queue, in seconds of the capacity
+	CV        Range
+	Batch     int
+	ItemCost  Range
+	Apart     bool
+	Conns     Range // connections, as a multiple of the calls served at once; 0 = any number
+	LeastConn Range
+	Endpoints Range // in the mean; those with more traffic have more
+}
+
+// Fleet is a number of destinations of a kind.
+type Fleet struct {
+	Kind         string
+	Destinations Range
+	Weight       float64 // of its traffic among the fleets
+}
+
+// Class describes a class of messages.
+type Class struct {
+	Name     string
+	Share    float64
+	Service  Range // seconds at a partner of usual pace
+	Aim      time.Duration
+	Deadline time.Duration
+	Effect   string // safe, keyed, unsafe
+	Memory   time.Duration
+	Late     float64 // part of the worth left at the deadline
+	Worth    float64
+}
+
+// Tenant is a program and its share.
+type Tenant struct {
+	Name  string
+	Share float64
+}
+
+// Traffic is what comes.
+type Traffic struct {
+	Rate     Range // messages a second, over all
+	Zipf     Range // how unevenly over the destinations
+	Clumps   Range // part of the messages that come in clumps
+	Clump    Range // seconds of the limit that a clump holds
+	Classes  []Class
+	Tenants  []Tenant
+	Retries  int           // times that a client hands in again after a refusal
+	RetryIn  Range         // seconds
+	AgainIn  Range         // seconds after which what a dead sender held comes again
+	Ramp     []RampPoint   // the rate over time, as a multiple; empty = even
+	Body     Range         // bytes
+	Patience time.Duration // that a client waits for its answer
+}
+
+// RampPoint is a point of a ramp: from there the rate goes evenly to the next.
+type RampPoint struct {
+	At     time.Duration
+	Factor float64
+}
+
+// Trouble ails some of the fleet for a time.
+type Trouble struct {
+	At, Length Range // seconds
+	Mode       partner.Mode
+	Share      Range // of the calls, where the mode has one
+	Factor     Range
+	Part       Range  // of the traffic that is struck, at most
+	Zone       string // only endpoints there; empty = any
+	Kind       string
+	Dest       int  // only this destination; below 0 = any
+	Knows      bool // a told wait tells its end
+}
+
+// Burst is more traffic for a time.
+type Burst struct {
+	At, Length, Factor Range
+}
+
+// Hot draws a share of all messages to a few large destinations.
+type Hot struct {
+	At, Length, Share Range
+	Keys              int
+}
+
+// Deed is something done to a sender: kill, term or hup.
+type Deed struct {
+	At     Range
+	Sender int
+	What   string
+}
+
+// Churn replaces an endpoint: the old one drains, then goes, and a new one comes.
+type Churn struct {
+	At    Range
+	Every time.Duration // again and again; 0 = once
+	Drain time.Duration
+	Reuse bool // the new one has the address of the old one
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -12,6 +12,7 @@
 import (
 	"errors"
 	"fmt"
+	"maps"
 	"os"
 	"path/filepath"
 	"time"
@@ -95,6 +96,27 @@
 
 // Parse reads a script. The path only names it, in errors and for relative paths.
 func Parse(path string, text []byte) (*Settings, error) {
+	s := defaults(path)
+	globals, err := Exec(path, text, s.predeclared())
+	if err != nil {
+		return nil, err
+	}
+	if s.hold, err = rule(path, globals, "hold"); err != nil {
+		return nil, err
+	}
+	if s.after, err = rule(path, globals, "after"); err != nil {
+		return nil, err
+	}
+	if s.Held == nil && (s.hold != nil || s.after != nil) {
+		return nil, &Error{File: path, Text: "rules hold and after need a store: call held(folder = ...)"}
+	}
+	return s, nil
+}
+
+// Exec runs a script of ours, with names of its own beside those of the language,
+// within the limits of all such scripts. Calls of its functions go through the same
+// limits only by this package. An error is an *Error.
+func Exec(path string, text []byte, names starlark.StringDict) (starlark.StringDict, error) {
 	file, err := (&syntax.FileOptions{}).Parse(path, text, 0)
 	if err != nil {
 		return nil, locate(path, err)
@@ -102,8 +124,9 @@
 	if err := confine(file); err != nil {
 		return nil, err
 	}
-	s := defaults(path)
-	pre := s.predeclared()
+	pre := maps.Clone(names)
+	maps.Copy(pre, units)
+	bounded(pre)
 	program, err := starlark.FileProgram(file, pre.Has)
 	if err != nil {
 		return nil, locate(path, err)
@@ -113,16 +136,13 @@
 		return nil, locate(path, err)
 	}
 	globals.Freeze()
-	if s.hold, err = rule(path, globals, "hold"); err != nil {
-		return nil, err
-	}
-	if s.after, err = rule(path, globals, "after"); err != nil {
-		return nil, err
-	}
-	if s.Held == nil && (s.hold != nil || s.after != nil) {
-		return nil, &Error{File: path, Text: "rules hold and after need a store: call held(folder = ...)"}
-	}
-	return s, nil
+	return globals, nil
+}
+
+// units are at hand in each script: times in seconds, sizes in bytes.
+var units = starlark.StringDict{
+	"SECOND": starlark.Float(1), "MINUTE": starlark.Float(60), "HOUR": starlark.Float(3600), "DAY": starlark.Float(86400),
+	"KB": starlark.MakeInt(1000), "MB": starlark.MakeInt(1_000_000), "GB": starlark.MakeInt(1_000_000_000),
 }
 
 // rule finds a rule among the globals; its shape is checked now, not when it is needed.
@@ -175,9 +195,7 @@
 
 // predeclared are the names that a script may use besides the language's own.
 func (s *Settings) predeclared() starlark.StringDict {
-	names := starlark.StringDict{
-		"SECOND": starlark.Float(1), "MINUTE": starlark.Float(60), "HOUR": starlark.Float(3600), "DAY": starlark.Float(86400),
-		"KB": starlark.MakeInt(1000), "MB": starlark.MakeInt(1_000_000), "GB": starlark.MakeInt(1_000_000_000),
+	return starlark.StringDict{
 		"HOLD": verdict{word: "HOLD"}, "GIVE_BACK": verdict{word: "GIVE_BACK"},
 		"held":   starlark.NewBuiltin("held", s.setHeld),
 		"admin":  starlark.NewBuiltin("admin", s.setAdmin),
@@ -186,8 +204,6 @@
 		"drop":   starlark.NewBuiltin("drop", drop),
 		"again":  starlark.NewBuiltin("again", again),
 	}
-	bounded(names)
-	return names
 }
 
 // top allows a call of a bound only while the script is read: a rule must not
--- a/internal/state/journal.go
+++ b/internal/state/journal.go
@@ -48,6 +48,8 @@
 	size  int64
 	buf   []byte
 	dirty bool // a write failed: the file lacks something that the table holds
+
+	nowhere bool // nothing is written at all
 }
 
 // takeCost is the part of the journal that a message may take: its own record
@@ -177,6 +179,9 @@
 // flush writes what was added. It rewrites the file first if that would take
 // it over its part of the limit; the table holds the added records already.
 func (j *journal) flush(t *table) error {
+	if j.nowhere {
+		j.buf = j.buf[:0]
+	}
 	if len(j.buf) == 0 && !j.dirty {
 		return nil
 	}
--- a/internal/state/keep.go
+++ b/internal/state/keep.go
@@ -21,6 +21,10 @@
 	Open   bool // no end is known
 }
 
+// keptPart: messages that the keeper does not have yet take one part in so many of
+// the journal at most.
+const keptPart = 10
+
 // triesMost bounds the history of a message where the settings don't.
 const triesMost = 64
 
@@ -158,9 +162,10 @@
 
 // keeps tells whether the keeper gets a message that ends with a notice. A
 // message whose client has not been answered yet may come again: it is not kept.
-// So it is where the journal runs full: there, what is taken on goes first.
+// Nor is it where what waits for the keeper takes a tenth of the journal: a store
+// that is slow must not keep new messages out.
 func (l *Loop) keeps(e *entry, n *Notice) (*Parting, bool) {
-	if l.keeper == nil || !e.answered || !l.journal.room(l.table.live+l.table.live/3) {
+	if l.keeper == nil || !e.answered || l.table.kept+e.cost > l.journal.limit/keptPart {
 		return nil, false
 	}
 	p := l.parting(e)
--- a/internal/state/keep_test.go
+++ b/internal/state/keep_test.go
@@ -180,6 +180,36 @@
 	}
 }
 
+// Where the keeper takes nothing, what waits for it has a tenth of the journal at
+// most: messages that end then are not kept, and new ones are taken on.
+func TestKeeperSlow(t *testing.T) {
+	k := newKeeperStub(true)
+	l, o := keepLoop(t, t.TempDir(), k) // 1 MB
+	start(t, l)
+	kept := 0
+	for i := range 20 {
+		v := make(chan Verdict, 1)
+		id := string(rune('a' + i))
+		l.Post(Handed{Message: &Message{ID: id, Class: 2, Destination: 7, Deadline: time.Now().Add(time.Minute), Body: make([]byte, 20_000)}, Verdict: v})
+		if got := get(t, v); !got.Taken {
+			t.Fatalf("message %d: %+v", i, got)
+		}
+		l.Post(Answered{id, true})
+		c := get(t, o.calls)
+		<-o.pending
+		l.Post(Ended{c, []End{{Forward: c.Forwards[0], Result: control.Rejected}}})
+		n := get(t, o.notices)
+		if n.Kept != nil {
+			kept++
+		} else {
+			l.Post(Acknowledged{[]control.MessageID{n.Num}})
+		}
+	}
+	if kept < 3 || kept > 4 {
+		t.Errorf("%d of 20 kept", kept)
+	}
+}
+
 // A journal that can't be written lets no resend go.
 func TestResendNeedsJournal(t *testing.T) {
 	k := newKeeperStub(true)
--- a/internal/state/loop.go
+++ b/internal/state/loop.go
@@ -19,6 +19,10 @@
 	DiskBytes int64
 	Log       *slog.Logger
 	Keeper    Keeper // nil: what can't be delivered is not kept
+
+	// For a laboratory that drives the loop by Step, in a time of its own.
+	Clock func() time.Time // nil: the machine's
+	NoDir bool             // the journal is kept nowhere; its limit holds all the same
 }
 
 // Loop owns the controller, the table, the target group and the journal. All
@@ -33,10 +37,12 @@
 	keeper   Keeper
 
 	events chan any
+	clock  func() time.Time
 	start  time.Time
 	now    time.Time // of the round
 	timer  *time.Timer
 	token  uint32
+	wakeAt time.Time // what the timer is set to
 
 	table   *table
 	group   *group
@@ -59,13 +65,19 @@
 
 // NewLoop reads the journal and makes a loop; Run starts it.
 func NewLoop(s Setup) (*Loop, error) {
-	j, t, err := openJournal(s.Dir, s.DiskBytes, s.Log)
+	if s.Clock == nil {
+		s.Clock = time.Now
+	}
+	j, t, err := &journal{limit: s.DiskBytes, nowhere: true}, newTable(), error(nil)
+	if !s.NoDir {
+		j, t, err = openJournal(s.Dir, s.DiskBytes, s.Log)
+	}
 	if err != nil {
 		return nil, err
 	}
 	l := &Loop{
 		set: s.Settings, log: s.Log, keeper: s.Keeper, events: make(chan any, 2*roundMost),
-		start: time.Now(), table: t, group: newGroup(), journal: j,
+		clock: s.Clock, start: s.Clock(), table: t, group: newGroup(), journal: j,
 		round: map[control.EndpointID]*Call{}, out: map[*Call]int{}, finished: make(chan struct{}),
 	}
 	if l.ctl, err = control.New(s.Settings, (*actions)(l)); err != nil {
@@ -144,7 +156,7 @@
 
 // begin takes up what the journal told is owed.
 func (l *Loop) begin() {
-	l.now = time.Now()
+	l.now = l.clock()
 	l.beginKeeper()
 	for _, e := range l.table.ordered() {
 		if e.parting != nil {
@@ -161,9 +173,27 @@
 	}
 }
 
+// Step runs rounds until these events and what they bring about are dealt with. It
+// takes the place of Run, for one who has the time in hand; a nil event is the timer.
+func (l *Loop) Step(events ...any) {
+	for _, e := range events {
+		if e == nil {
+			l.wakeAt = time.Time{}
+			e = l.token
+		}
+		l.backlog = append(l.backlog, e)
+	}
+	for l.turn(); len(l.backlog) > 0; {
+		l.turn()
+	}
+}
+
+// WakeAt is when the timer goes off; zero where it is not set. For one who calls Step.
+func (l *Loop) WakeAt() time.Time { return l.wakeAt }
+
 // turn is one round.
 func (l *Loop) turn() {
-	l.now = time.Now()
+	l.now = l.clock()
 	events := l.backlog
 	l.backlog = nil
 	for _, e := range events {
--- a/internal/state/route.go
+++ b/internal/state/route.go
@@ -173,8 +173,10 @@
 
 // Wake sets the one timer: the controller heeds its latest token alone.
 func (a *actions) Wake(after time.Duration, token uint32) {
-	a.token = token
-	a.timer.Reset(max(after, 0))
+	a.token, a.wakeAt = token, a.now.Add(max(after, 0))
+	if a.timer != nil {
+		a.timer.Reset(max(after, 0))
+	}
 }
 
 func (a *actions) Log(text string) { a.log.Info(text) }
--- a/internal/state/table.go
+++ b/internal/state/table.go
@@ -58,6 +58,7 @@
 	next    control.MessageID
 	open    int             // not ended
 	live    int64           // journal bytes of all
+	kept    int64           // of those, the bytes of messages that a keeper does not have yet
 	past    map[string]bool // ids of messages that are over...
 	expiry  []pastID        // ...until a time, in the order of it
 }
@@ -114,6 +115,9 @@
 	}
 	t.live += takeCost(e.Message) - e.cost
 	e.cost = takeCost(e.Message)
+	if n.Kept != nil {
+		t.kept += e.cost
+	}
 	t.open--
 }
 
@@ -127,6 +131,9 @@
 		delete(t.ids, e.ID)
 	}
 	t.live -= e.cost
+	if e.notice != nil && e.notice.Kept != nil {
+		t.kept -= e.cost
+	}
 	if e.notice == nil {
 		t.open--
 	}
