Put one queue of timed items in the place of three hand-made heaps

The model of partners, the scenarios' arrivals and the virtual laboratory each had a heap of their own by time and order. internal/timeline has one generic queue on container/heap for all three; behaviour and assertions are unchanged. Nothing of it runs in a sender.

--- a/internal/lab/sim.go
+++ b/internal/lab/sim.go
@@ -5,7 +5,6 @@
 package lab
 
 import (
-	"container/heap"
 	"fmt"
 	"log/slog"
 	"math"
@@ -17,6 +16,7 @@
 	"cleathold/internal/partner"
 	"cleathold/internal/scenario"
 	"cleathold/internal/state"
+	"cleathold/internal/timeline"
 )
 
 // epoch is when virtual time begins, by the loops' clock.
@@ -60,8 +60,8 @@
 	rng     *rand.Rand
 	log     *slog.Logger
 	now     time.Duration
-	todo    agenda
-	serial  int
+	todo    timeline.Queue[func()]
+	serial  uint64
 	modelAt time.Duration // when the model is looked at next; below 0 = not
 
 	senders  []*sender
@@ -103,33 +103,10 @@
 	lists bool // on the list
 }
 
-// A deed is something that happens at a time.
-type deed struct {
-	at     time.Duration
-	serial int
-	do     func()
-}
-
-type agenda []deed
-
-func (a agenda) Len() int { return len(a) }
-func (a agenda) Less(i, j int) bool {
-	return a[i].at < a[j].at || a[i].at == a[j].at && a[i].serial < a[j].serial
-}
-func (a agenda) Swap(i, j int) { a[i], a[j] = a[j], a[i] }
-func (a *agenda) Push(x any)   { *a = append(*a, x.(deed)) }
-func (a *agenda) Pop() any {
-	old := *a
-	x := old[len(old)-1]
-	old[len(old)-1] = deed{}
-	*a = old[:len(old)-1]
-	return x
-}
-
 // at has something done at a time.
 func (s *Sim) at(when time.Duration, do func()) {
 	s.serial++
-	heap.Push(&s.todo, deed{max(when, s.now), s.serial, do})
+	s.todo.Push(max(when, s.now), s.serial, do)
 }
 
 // note gives the auditor an event.
@@ -238,11 +215,11 @@
 // Run plays the plan to its end.
 func (s *Sim) Run() (Result, error) {
 	end := s.plan.Scenario.Length + drainSpan
-	for len(s.todo) > 0 && s.todo[0].at <= end && s.err == nil {
-		d := heap.Pop(&s.todo).(deed)
-		s.now = d.at
+	for at, _, some := s.todo.First(); some && at <= end && s.err == nil; at, _, some = s.todo.First() {
+		now, do := s.todo.Pop()
+		s.now = now
 		s.result.Events++
-		d.do()
+		do()
 		s.settle()
 	}
 	if s.err != nil {
--- a/internal/partner/model.go
+++ b/internal/partner/model.go
@@ -1,12 +1,13 @@
 package partner
 
 import (
-	"container/heap"
 	"fmt"
 	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
+
+	"cleathold/internal/timeline"
 )
 
 // Model is a set of destinations. It is not safe for concurrent use. Times are
@@ -17,7 +18,7 @@
 	dests     map[int]*dest
 	endpoints map[string]*endpoint
 	calls     map[uint64]*job
-	due       agenda
+	due       timeline.Queue[entry]
 	answers   []Answer
 	effects   []Effect
 	falls     []Fall
@@ -86,26 +87,10 @@
 
 // An entry of the agenda; one whose version is not its job's any more is void.
 type entry struct {
-	at      time.Duration
 	version uint64
 	job     *job
 }
 
-type agenda []entry
-
-func (a agenda) Len() int { return len(a) }
-func (a agenda) Less(i, j int) bool {
-	return a[i].at < a[j].at || a[i].at == a[j].at && a[i].version < a[j].version
-}
-func (a agenda) Swap(i, j int) { a[i], a[j] = a[j], a[i] }
-func (a *agenda) Push(x any)   { *a = append(*a, x.(entry)) }
-func (a *agenda) Pop() any {
-	old := *a
-	x := old[len(old)-1]
-	*a = old[:len(old)-1]
-	return x
-}
-
 // New makes a model; each seed draws its own times.
 func New(seed uint64) *Model {
 	return &Model{
@@ -514,7 +499,7 @@
 		}
 		m.serial++
 		j.version = m.serial
-		heap.Push(&m.due, entry{at, j.version, j})
+		m.due.Push(at, j.version, entry{j.version, j})
 	}
 }
 
@@ -536,13 +521,13 @@
 
 // Next is when something happens by itself; false where nothing will.
 func (m *Model) Next() (time.Duration, bool) {
-	for len(m.due) > 0 && m.due[0].version != m.due[0].job.version {
-		heap.Pop(&m.due)
-	}
-	if len(m.due) == 0 {
-		return 0, false
+	for {
+		at, e, some := m.due.First()
+		if !some || e.version == e.job.version {
+			return at, some
+		}
+		m.due.Pop()
 	}
-	return m.due[0].at, true
 }
 
 // Advance lets the time pass. What happens meanwhile happens at its own instant.
@@ -552,7 +537,8 @@
 		if !some || at > now {
 			break
 		}
-		j := heap.Pop(&m.due).(entry).job
+		_, due := m.due.Pop()
+		j := due.job
 		m.now = max(m.now, at)
 		e := j.at
 		m.settle(e)
--- a/internal/scenario/plan.go
+++ b/internal/scenario/plan.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"container/heap"
 	"fmt"
 	"math"
 	"math/rand/v2"
@@ -10,6 +9,7 @@
 	"time"
 
 	"cleathold/internal/partner"
+	"cleathold/internal/timeline"
 )
 
 // Plan is a scenario with everything drawn but its messages, which Arrivals draws
@@ -307,31 +307,15 @@
 	large   []int // destinations, those with most traffic first
 	single  time.Duration
 	clump   time.Duration
-	ahead   crowd
+	ahead   timeline.Queue[clump]
 	n       int
 }
 
 // A clump is what is still to come of one.
 type clump struct {
-	at    time.Duration
 	dest  int
 	left  int
-	order int
-}
-
-type crowd []clump
-
-func (c crowd) Len() int { return len(c) }
-func (c crowd) Less(i, j int) bool {
-	return c[i].at < c[j].at || c[i].at == c[j].at && c[i].order < c[j].order
-}
-func (c crowd) Swap(i, j int) { c[i], c[j] = c[j], c[i] }
-func (c *crowd) Push(x any)   { *c = append(*c, x.(clump)) }
-func (c *crowd) Pop() any {
-	old := *c
-	x := old[len(old)-1]
-	*c = old[:len(old)-1]
-	return x
+	order uint64
 }
 
 // Arrivals starts at the first message.
@@ -415,8 +399,8 @@
 		if a.clump < at {
 			at, from = a.clump, 1
 		}
-		if len(a.ahead) > 0 && a.ahead[0].at <= at {
-			at, from = a.ahead[0].at, 2
+		if next, _, some := a.ahead.First(); some && next <= at {
+			at, from = next, 2
 		}
 		if at > a.p.Scenario.Length {
 			return Arrival{}, false
@@ -430,14 +414,13 @@
 			a.clump = a.after(at, a.clumpRate())
 			d := a.choose(a.byShare)
 			size := max(1, int(math.Round(a.p.clump.draw(a.rng)*a.takes(&a.p.Dests[d]))))
-			heap.Push(&a.ahead, clump{at, d, size, a.n})
+			a.ahead.Push(at, uint64(a.n), clump{d, size, uint64(a.n)})
 			continue
 		case 2:
-			c := heap.Pop(&a.ahead).(clump)
+			_, c := a.ahead.Pop()
 			dest = c.dest
 			if c.left--; c.left > 0 {
-				c.at += time.Duration(a.rng.ExpFloat64() * 2 * float64(time.Millisecond))
-				heap.Push(&a.ahead, c)
+				a.ahead.Push(at+time.Duration(a.rng.ExpFloat64()*2*float64(time.Millisecond)), c.order, c)
 			}
 		}
 		m := Arrival{
