--- /dev/null
+++ b/cmd/cleathold/lab_test.go
@@ -0,0 +1,253 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"log/slog"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"cleathold/internal/audit"
+	"cleathold/internal/ledger"
+	"cleathold/internal/rig"
+	"cleathold/internal/scenario"
+)
+
+// shorter is a rehearsal cut to a few seconds.
+func shorter(t *testing.T, more string) string {
+	t.Helper()
+	text, err := os.ReadFile("../../examples/scenarios/building-refuses.star")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := strings.Replace(string(text), "seconds = 60, senders = 3", "seconds = 5, senders = 2", 1)
+	s = strings.Replace(s, "at = (12, 18), seconds = (10, 20)", "at = 1, seconds = 2", 1)
+	path := filepath.Join(t.TempDir(), "short.star")
+	if err := os.WriteFile(path, []byte(s+more), 0o644); err != nil {
+		t.Fatal(err)
+	}
+	return path
+}
+
+var nobody = slog.New(slog.DiscardHandler)
+
+func setup(t *testing.T, path string) rig.Setup {
+	t.Helper()
+	t.Setenv("CLEATHOLD_CHILD", "1") // the senders are this binary
+	s, err := scenario.Load(path, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return rig.Setup{Plan: s.Plan(1), Program: os.Args[0], Folder: t.TempDir(), Log: nobody}
+}
+
+// addresses are where a run's senders listen.
+func addresses(t *testing.T, folder string) []string {
+	t.Helper()
+	var list []string
+	files, _ := filepath.Glob(filepath.Join(folder, "n*", "config.json"))
+	for _, path := range files {
+		text, err := os.ReadFile(path)
+		var c struct{ Listen string }
+		if err == nil {
+			err = json.Unmarshal(text, &c)
+		}
+		if err != nil {
+			t.Fatal(err)
+		}
+		list = append(list, c.Listen)
+	}
+	if len(list) == 0 {
+		t.Fatal("no sender was prepared")
+	}
+	return list
+}
+
+// allGone wants nobody to listen at any of them any more.
+func allGone(t *testing.T, list []string) {
+	t.Helper()
+	for _, a := range list {
+		for until := time.Now().Add(10 * time.Second); ; time.Sleep(5 * time.Millisecond) {
+			c, err := net.Dial("tcp", a)
+			if err != nil {
+				break
+			}
+			c.Close()
+			if time.Now().After(until) {
+				t.Errorf("a sender is left behind at %s", a)
+				break
+			}
+		}
+	}
+}
+
+// A rehearsal on sockets, with a trouble, a kill and a reload: the rules hold, the
+// run folder gives a page, and nobody is left behind.
+func TestLabRun(t *testing.T) {
+	path := shorter(t, `
+sender(number = 0, at = 2, what = "kill")
+sender(number = 1, at = 1, what = "hup")
+`)
+	t.Setenv("CLEATHOLD_CHILD", "1")
+	folder := filepath.Join(t.TempDir(), "run")
+	out := &bytes.Buffer{}
+	if err := (&labRunCmd{script: script{Scenario: path}, Seed: 1, Out: folder, Program: os.Args[0], JSON: true}).Run(out, nobody); err != nil {
+		t.Fatalf("%v\n%s", err, out)
+	}
+	var r rig.Result
+	if err := json.Unmarshal(out.Bytes(), &r); err != nil {
+		t.Fatal(err)
+	}
+	if r.Messages < 50 || r.Whole < 0.5 || r.Restarts != 1 || r.Crashes != 0 || r.Counts.Taken == 0 {
+		t.Errorf("%+v", r)
+	}
+	allGone(t, addresses(t, folder))
+	page, html := &bytes.Buffer{}, filepath.Join(t.TempDir(), "page.html")
+	if err := (&labReportCmd{Runs: []string{folder}, HTML: html}).Run(page); err != nil {
+		t.Fatal(err)
+	}
+	text, err := os.ReadFile(html)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, want := range []string{"DOWN in bldg-b", "sender 0: kill", "fee-payment"} {
+		if !strings.Contains(page.String(), want) || !strings.Contains(string(text), want) {
+			t.Errorf("the report lacks %q:\n%s", want, page)
+		}
+	}
+	if strings.Count(string(text), "<svg") != 5 {
+		t.Errorf("%d drawings", strings.Count(string(text), "<svg"))
+	}
+}
+
+// A sender that never gets ready, or ends first, is a clear end, and nobody is left.
+func TestLabNeverReady(t *testing.T) {
+	for _, c := range []struct{ script, want string }{
+		{"#!/bin/sh\necho no such luck >&2\nexit 3\n", "ended before it was ready: exit status 3; its log ends: no such luck"},
+		{"#!/bin/sh\nexec sleep 60\n", "is not ready in time"},
+	} {
+		s := setup(t, shorter(t, ""))
+		s.Program, s.ReadyIn = filepath.Join(t.TempDir(), "program"), 300*time.Millisecond
+		if err := os.WriteFile(s.Program, []byte(c.script), 0o755); err != nil {
+			t.Fatal(err)
+		}
+		if _, err := rig.Run(t.Context(), s); err == nil || !strings.Contains(err.Error(), c.want) {
+			t.Errorf("%v, want %q", err, c.want)
+		}
+		allGone(t, addresses(t, s.Folder))
+	}
+}
+
+// The ledger's disk is full, or the run is called off: a clear end, nobody left.
+func TestLabBrokenOff(t *testing.T) {
+	full := errors.New("no space left on device")
+	s := setup(t, shorter(t, ""))
+	n := 0
+	s.Sink = func(audit.Event) error {
+		if n++; n > 100 {
+			return full
+		}
+		return nil
+	}
+	if _, err := rig.Run(t.Context(), s); !errors.Is(err, full) {
+		t.Errorf("a full disk: %v", err)
+	}
+	allGone(t, addresses(t, s.Folder))
+
+	s = setup(t, shorter(t, ""))
+	ctx, cancel := context.WithCancel(t.Context())
+	s.Sink = func(e audit.Event) error {
+		if e.What == audit.Taken {
+			cancel()
+		}
+		return nil
+	}
+	if _, err := rig.Run(ctx, s); err == nil || err.Error() != "broken off" {
+		t.Errorf("called off: %v", err)
+	}
+	allGone(t, addresses(t, s.Folder))
+}
+
+// Ctrl-C, and a kill of the rig itself: no sender outlives it, and what was written
+// of the ledger can be read.
+func TestLabKilled(t *testing.T) {
+	for _, sig := range []syscall.Signal{syscall.SIGINT, syscall.SIGKILL} {
+		folder := filepath.Join(t.TempDir(), "run")
+		path := shorter(t, "")
+		c := exec.Command(os.Args[0], "lab", "run", path, "--out", folder)
+		c.Env = append(os.Environ(), "CLEATHOLD_CHILD=1")
+		var stderr bytes.Buffer
+		c.Stderr = &stderr
+		if err := c.Start(); err != nil {
+			t.Fatal(err)
+		}
+		// Once a block of the ledger is there, the run is in its middle.
+		for until := time.Now().Add(20 * time.Second); ; time.Sleep(10 * time.Millisecond) {
+			if info, err := os.Stat(filepath.Join(folder, "ledger.zst")); err == nil && info.Size() > 500 {
+				break
+			}
+			if time.Now().After(until) {
+				t.Fatal("no ledger")
+			}
+		}
+		c.Process.Signal(sig)
+		err := c.Wait()
+		if sig == syscall.SIGINT && (c.ProcessState.ExitCode() != exitOff || !strings.Contains(stderr.String(), "broken off")) {
+			t.Errorf("Ctrl-C: %v, %s", err, &stderr)
+		}
+		allGone(t, addresses(t, folder))
+		run, err := ledger.Open(folder)
+		if err != nil {
+			t.Fatal(err)
+		}
+		events := 0
+		whole, err := run.Events(func(audit.Event) error { events++; return nil })
+		if err != nil || events == 0 || whole != (sig == syscall.SIGINT) || run.Result != nil {
+			t.Errorf("%v: %v, %d events, whole %t", sig, err, events, whole)
+		}
+		page := &bytes.Buffer{}
+		if err := (&labReportCmd{Runs: []string{folder}}).Run(page); err != nil || !strings.Contains(page.String(), "broken off") {
+			t.Errorf("%v: %s", err, page)
+		}
+	}
+}
+
+// Two builds on paired seeds: the same against itself is noise, and less patience of
+// the partners is not.
+func TestLabCompare(t *testing.T) {
+	path := shorter(t, "")
+	hurt := shorter(t, "trouble(what = \"SILENT\", at = 0, seconds = 5, part = 0.9)\n")
+	for _, c := range []struct {
+		b     string
+		noise bool
+	}{{path, true}, {hurt, false}} {
+		out := &bytes.Buffer{}
+		if err := (&labCompareCmd{A: path, B: c.b, Runs: 3, Seed: 1, JSON: true}).Run(out, nobody); err != nil {
+			t.Fatal(err)
+		}
+		var got comparison
+		if err := json.Unmarshal(out.Bytes(), &got); err != nil {
+			t.Fatal(err)
+		}
+		if got.Noise != c.noise || got.Pairs != 3 || !c.noise && got.High >= 0 {
+			t.Errorf("%+v", got.Difference)
+		}
+	}
+	t.Setenv("CLEATHOLD_CHILD", "1")
+	out := &bytes.Buffer{}
+	if err := (&labCompareCmd{A: os.Args[0], B: os.Args[0], Scenario: path, Runs: 2, Seed: 1}).Run(out, nobody); err != nil || !strings.Contains(out.String(), "noise") {
+		t.Errorf("programs: %v, %s", err, out)
+	}
+	if err := (&labCompareCmd{A: os.Args[0], B: os.Args[0], Runs: 2}).Run(io.Discard, nobody); err == nil {
+		t.Error("two programs without a scenario")
+	}
+}
--- /dev/null
+++ b/examples/scenarios/all-at-once.star
@@ -0,0 +1,34 @@
+# All at once: a building refuses, a kind fails, calls are slow, traffic bursts, a few
+# partners draw more, endpoints are replaced, discovery is out, and senders are
+# killed, stopped and told to reload.
+
+scenario(name = "all-at-once", seconds = 60, senders = 3, zones = ["bldg-a", "bldg-b"])
+
+kind(name = "large-partners", limit = "rate", headroom = (1.3, 2.3), least = (2.1, 4.2), tells_wait = (0.62, 0.99),
+     wait = (0.31, 0.99), batch = 5, apart = True)
+kind(name = "small-partners", limit = "window", headroom = (1, 1.7), least = (1.5, 4.9), span = 1, refused_count = True,
+     tells_wait = (0.1, 0.55), conns = (2.1, 3.8))
+
+fleet(kind = "large-partners", destinations = (3, 5), weight = 2)
+fleet(kind = "small-partners", destinations = (7, 10))
+
+traffic(rate = 47, clumps = (0.11, 0.18), clump = (1.3, 3.2), retries = 2)
+ramp(at = 0, factor = 0.8)
+message_class(name = "status", share = 0.55, service = (0.27, 0.47), aim = 0.8, deadline = 8, late = 0.1)
+message_class(name = "print-order", share = 0.26, service = (0.18, 0.31), aim = 2, deadline = 20, effect = "keyed", memory = 12, late = 0.5)
+message_class(name = "fee-payment", share = 0.19, service = (0.27, 0.47), aim = 2, deadline = 16, effect = "unsafe", late = 0.5, worth = 3)
+tenant(name = "school-bands", share = 0.46)
+tenant(name = "library-scores", share = 0.37)
+tenant(name = "parks-concerts", share = 0.17)
+
+trouble(what = "DOWN", at = (12, 16), seconds = (10, 18), part = 0.25, zone = "bldg-b")
+trouble(what = "FAILING", at = (18, 24), seconds = (8, 16), part = 0.25, share = (0.4, 0.9))
+trouble(what = "SLOW", at = (30, 34), seconds = (4, 12), factor = (1.6, 2.8))
+trouble(what = "BREAKING", at = (40, 44), seconds = (4, 8), part = 0.15, share = (0.2, 0.6))
+burst(at = (22, 30), seconds = (3, 9), factor = (1.5, 2.4))
+hot(at = (26, 34), seconds = (6, 18), share = (0.05, 0.2), destinations = 3)
+churn(at = (8, 10), every = 12, drain = 3, reuse_address = True)
+discovery_out(at = (33, 36), seconds = (4, 7))
+sender(number = 1, at = (14, 18), what = "kill")
+sender(number = 2, at = (28, 32), what = "term")
+sender(number = 0, at = (36, 38), what = "hup")
--- a/internal/audit/event.go
+++ b/internal/audit/event.go
@@ -14,8 +14,8 @@
 	HandIn   What = iota // a message has come in whole (Message, Class, Dest, Left, Key)
 	Taken                // its client has heard that it is taken on (Message)
 	TurnedAt             // its client has a fixed response: nothing is owed (Message)
-	Sent                 // the first byte of a call has come (Call, Endpoint, Zone, Dest, Messages)
-	Ended                // a call has ended (Call, Outcome, Wait; Ends, where its messages fared apart)
+	Sent                 // a call has come whole (Call, Endpoint, Zone, Dest, Messages; First, where its first byte came before)
+	Ended                // a call has ended (Call, Outcome, Wait, Cause; Ends, where its messages fared apart)
 	Notice               // the platform has a notice (Message, Deferred)
 	Told                 // discovery has told a sender, or counts as having told (Endpoint, Dest, Leaves)
 	Trouble              // an outage of a route began (Dest, Endpoint where routes are apart)
@@ -24,6 +24,9 @@
 	Fell                 // a cold route was pushed over (Dest, Endpoint, Pushes)
 	Died                 // a sender's process ended, or was told to
 	Ready                // it is ready again
+	Asked                // a client wants a message delivered, from now on (N, Class, Tenant, Dest)
+	Took                 // a message took effect, or was dropped as a repeat (Call, Message, Class, Endpoint; Cause "dropped" or "late")
+	Gone                 // a client has no answer to a hand-in, and counts on nothing from it (Message, Cause)
 )
 
 // Outcome says how a call or one of its messages ended, as its target did.
@@ -57,6 +60,12 @@
 	Deferred bool               `json:"deferred,omitempty"`
 	Leaves   bool               `json:"leaves,omitempty"` // it drains or is gone
 	Pushes   map[int]int        `json:"pushes,omitempty"`
+
+	// For those that count service, and draw it.
+	N      int           `json:"n,omitempty"` // the client's message, over all its hand-ins
+	Tenant int           `json:"tenant,omitempty"`
+	First  time.Duration `json:"first,omitempty"`
+	Cause  string        `json:"cause,omitempty"`
 }
 
 // Rule is one of the rules.
--- /dev/null
+++ b/internal/lab/ground.go
@@ -0,0 +1,275 @@
+package lab
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"cleathold/control"
+	"cleathold/internal/audit"
+	"cleathold/internal/partner"
+	"cleathold/internal/scenario"
+)
+
+const (
+	listLate = 3 * time.Second // discovery tells a sender of a change this late at most
+	listSure = 6 * time.Second // it counts as told so long after it, whatever arrived
+	hopSame  = 500 * time.Microsecond
+	hopCross = 10 * time.Millisecond
+)
+
+// Line is an endpoint as discovery lists it.
+type Line struct {
+	ID      string
+	Address string // the id of the endpoint that had this address first
+	Dest    int
+	Kind    int
+	Zone    int
+	State   control.State
+	Weight  float64
+}
+
+// A telling is a change that a sender is told of from a time on.
+type telling struct {
+	due     time.Duration
+	version int64
+	line    Line
+	before  Line // as the sender knew it...
+	known   bool // ...if it did
+}
+
+// Ground is what lies outside the senders, on sockets and in virtual time alike:
+// the partners, the changes that a plan brings them, and discovery's list with the
+// time at which each sender is told of it. It does no I/O.
+type Ground struct {
+	Plan  *scenario.Plan
+	Model *partner.Model
+
+	note    func(audit.Event)
+	rng     *rand.Rand
+	kinds   map[string]int
+	lines   map[string]Line
+	order   []string
+	version int64
+	told    [][]telling // by sender, in the order of their times and versions
+	base    []int64     // by sender: tellings up to this version are forgotten
+	falls   int
+}
+
+// NewGround makes the ground of a plan. What is seen on it is noted.
+func NewGround(p *scenario.Plan, note func(audit.Event)) (*Ground, error) {
+	m, err := p.Model()
+	if err != nil {
+		return nil, err
+	}
+	g := &Ground{
+		Plan: p, Model: m, note: note, rng: rand.New(rand.NewPCG(p.Seed, 97)), kinds: map[string]int{}, lines: map[string]Line{},
+		version: 1, told: make([][]telling, p.Scenario.Senders), base: make([]int64, p.Scenario.Senders),
+	}
+	for i := range g.base {
+		g.base[i] = 1
+	}
+	for i, k := range p.Scenario.Kinds {
+		g.kinds[k.Name] = i
+	}
+	for i := range p.Dests {
+		for _, e := range p.Dests[i].Endpoints {
+			g.list(&p.Dests[i], e, e.ID)
+		}
+	}
+	return g, nil
+}
+
+func (g *Ground) list(d *scenario.Destination, e partner.EndpointSpec, address string) Line {
+	l := Line{e.ID, address, d.Dest, g.kinds[d.Kind], e.Zone, control.Ready, d.Told}
+	g.lines[e.ID] = l
+	g.order = append(g.order, e.ID)
+	return l
+}
+
+// Terms are the rules as a plan's senders must keep them.
+func Terms(p *scenario.Plan, set control.Settings) audit.Terms {
+	var classes []audit.Class
+	for _, c := range set.Classes {
+		classes = append(classes, audit.Class{Effect: audit.Effect(c.Effect), Memory: c.Memory})
+	}
+	terms := audit.Sockets(classes, set.DrainGrace)
+	for i := range p.Dests {
+		terms.Apart[p.Dests[i].Dest] = p.Dests[i].Apart
+	}
+	return terms
+}
+
+// Hop is the time one way between a sender and an endpoint.
+func Hop(zone, other int) time.Duration {
+	if zone == other {
+		return hopSame
+	}
+	return hopCross
+}
+
+// Change does what the plan says to an endpoint. If discovery tells of it, told
+// has, for each sender, the time from which on it does.
+func (g *Ground) Change(now time.Duration, c scenario.Change) (told []time.Duration, err error) {
+	l, listed := g.lines[c.Endpoint]
+	switch {
+	case c.Joins != nil:
+		if err := g.Model.Join(now, c.Dest, *c.Joins); err != nil {
+			return nil, err
+		}
+		address := c.Joins.ID
+		if old, was := g.lines[c.Address]; was {
+			address = old.Address
+		}
+		g.list(&g.Plan.Dests[c.Dest-1], *c.Joins, address)
+		return g.announce(now, Line{}, false, c.Joins.ID), nil
+	case !listed || l.State == control.Removed:
+		return nil, nil
+	case c.Drains:
+		before := l
+		l.State = control.Draining
+		g.lines[l.ID] = l
+		return g.announce(now, before, true, l.ID), g.Model.Set(now, l.ID, partner.Trouble{Mode: partner.Draining})
+	case c.Leaves:
+		before := l
+		l.State = control.Removed
+		g.lines[l.ID] = l
+		return g.announce(now, before, true, l.ID), g.Model.Leave(now, l.ID)
+	case l.State == control.Draining:
+		return nil, nil // a trouble finds it leaving
+	}
+	was, is := g.Model.Trouble(l.ID), c.Trouble
+	err = g.Model.Set(now, l.ID, is)
+	if is.Outage() && !was.Outage() {
+		g.note(audit.Event{What: audit.Trouble, Dest: l.Dest, Endpoint: l.ID})
+	} else if was.Outage() && !is.Outage() {
+		g.note(audit.Event{What: audit.Back, Dest: l.Dest, Endpoint: l.ID})
+	}
+	return nil, err
+}
+
+// announce draws when each sender is told of a change. Its order stays: no sender
+// is told of the newer of two changes first.
+func (g *Ground) announce(now time.Duration, before Line, known bool, id string) []time.Duration {
+	g.version++
+	due := make([]time.Duration, len(g.told))
+	for i := range g.told {
+		due[i] = now + time.Duration(g.rng.Float64()*float64(listLate))
+		if n := len(g.told[i]); n > 0 {
+			due[i] = max(due[i], g.told[i][n-1].due)
+		}
+		g.told[i] = append(g.told[i], telling{due[i], g.version, g.lines[id], before, known})
+	}
+	return due
+}
+
+// Deemed notes that all senders count as told of what happened to an endpoint. It
+// is to be called listSure after the change.
+func (g *Ground) Deemed(c scenario.Change) {
+	for i := range g.told {
+		g.note(audit.Event{What: audit.Told, Sender: i, Endpoint: c.Endpoint, Dest: c.Dest, Leaves: true})
+	}
+}
+
+// Blind tells whether discovery is down, and until when.
+func (g *Ground) Blind(now time.Duration) (until time.Duration, blind bool) {
+	for _, b := range g.Plan.Blind {
+		if now >= b.From && now < b.To {
+			return b.To, true
+		}
+	}
+	return 0, false
+}
+
+// Since returns what has changed for a sender after a version, and its version now.
+// Whole is true where too much was forgotten: it is then the whole list.
+func (g *Ground) Since(now time.Duration, sender int, since int64) (lines []Line, version int64, whole bool) {
+	if since < g.base[sender] {
+		lines, version = g.Whole(now, sender)
+		return lines, version, true
+	}
+	version = since
+	seen := 0
+	for _, t := range g.told[sender] {
+		if t.due > now {
+			break
+		}
+		if t.version <= since {
+			seen++ // it has these
+			continue
+		}
+		lines, version = append(lines, t.line), t.version
+	}
+	if seen > 0 {
+		g.base[sender] = g.told[sender][seen-1].version
+		g.told[sender] = slices.Delete(g.told[sender], 0, seen)
+	}
+	return lines, version, false
+}
+
+// Next is when a sender is told of something newer than a version; false where
+// nothing is on its way.
+func (g *Ground) Next(sender int, since int64) (time.Duration, bool) {
+	for _, t := range g.told[sender] {
+		if t.version > since {
+			return t.due, true
+		}
+	}
+	return 0, false
+}
+
+// Whole is the list as a sender is told of it now.
+func (g *Ground) Whole(now time.Duration, sender int) ([]Line, int64) {
+	version := g.base[sender]
+	late := map[string]telling{}
+	for _, t := range slices.Backward(g.told[sender]) {
+		if t.due > now {
+			late[t.line.ID] = t // the earliest that it does not know of counts
+			continue
+		}
+		version = max(version, t.version)
+	}
+	var lines []Line
+	for _, id := range g.order {
+		l, known := g.lines[id], true
+		if t, is := late[id]; is {
+			l, known = t.before, t.known
+		}
+		if known && l.State != control.Removed {
+			lines = append(lines, l)
+		}
+	}
+	return lines, version
+}
+
+// Settle notes what the model has done since, and returns the answers that it gave.
+func (g *Ground) Settle() []partner.Answer {
+	for _, f := range g.Model.Falls() {
+		g.falls++
+		g.note(audit.Event{What: audit.Fell, Dest: f.Dest, Endpoint: f.Endpoint, Pushes: f.Pushes})
+	}
+	for _, e := range g.Model.Effects() {
+		cause := ""
+		if e.Dropped {
+			cause = "dropped"
+		} else if e.Late {
+			cause = "late"
+		}
+		g.note(audit.Event{What: audit.Took, Sender: e.Sender, Call: e.Call, Message: e.Message.ID, Class: e.Message.Class, Endpoint: e.Endpoint, Cause: cause})
+	}
+	return g.Model.Answers()
+}
+
+// Falls is how many routes were pushed over.
+func (g *Ground) Falls() int { return g.falls }
+
+// OutcomeOf is how an answer counts for the rules, and the word for it in a ledger.
+func OutcomeOf(k partner.Kind) (audit.Outcome, string) {
+	switch k {
+	case partner.Delivered:
+		return audit.Delivered, ""
+	case partner.Refused, partner.Rejected:
+		return audit.NeverRan, k.String()
+	}
+	return audit.Failed, k.String()
+}
--- /dev/null
+++ b/internal/lab/profile.go
@@ -0,0 +1,72 @@
+package lab
+
+import (
+	"encoding/json"
+	"math"
+	"math/rand/v2"
+
+	"cleathold/control"
+	"cleathold/internal/scenario"
+	"cleathold/internal/wire"
+)
+
+// Profile is what a sender of a plan is told by the platform: the object that
+// stands under "settings" in its configuration.
+func Profile(p *scenario.Plan, sender int) map[string]any {
+	s := p.Scenario
+	rng := rand.New(rand.NewPCG(p.Seed, 98))
+	type object = map[string]any
+	var profiles, tenants []object
+	for _, c := range s.Traffic.Classes {
+		profiles = append(profiles, object{
+			"name": c.Name, "aim-ms": wire.Millis(c.Aim), "deadline-ms": wire.Millis(c.Deadline), "effect": c.Effect, "key-scope": "all",
+			"late-worth": c.Late, "memory-span-ms": wire.Millis(c.Memory), "worth": c.Worth, "streamed": false,
+		})
+	}
+	shares := 0.0
+	for _, t := range s.Traffic.Tenants {
+		shares += t.Share
+	}
+	for _, t := range s.Traffic.Tenants {
+		tenants = append(tenants, object{"name": t.Name, "allowance-per-s": p.Rate * t.Share / shares, "portion": t.Share / shares})
+	}
+	var kinds []string
+	var batch []int
+	var apart []bool
+	for _, k := range s.Kinds {
+		kinds, batch, apart = append(kinds, k.Name), append(batch, k.Batch), append(apart, k.Apart)
+	}
+	busy := 0.0 // calls that the load keeps out
+	for _, d := range p.Dests {
+		busy += p.Rate * d.Share * (d.Mean.Seconds() + 2*hopCross.Seconds()/2)
+	}
+	part := 1 / float64(s.Senders)
+	pick := func(r scenario.Range) float64 { return r.From + (r.To-r.From)*rng.Float64() }
+	slots := max(3, int(math.Ceil(pick(s.Slots)*busy*part)))
+	hold := max(16, int(math.Ceil(pick(s.Hold)*p.Rate*part)))
+	return object{
+		"clients": object{"marks-retry": true}, "discovery": "ask", "kind-of-service": "deliver", "weights": "rough", "worth-by": "request",
+		"tick-ms": 5.0, "tier": 0, "me": sender, "siblings": s.Senders, "zone": sender % len(s.Zones), "zones": s.Zones,
+		"kinds": kinds, "profiles": profiles, "tenants": tenants, "over-share-worth": 1.0,
+		"goal":      object{"whole": 0.4, "worst-class": 0.2, "worst-tenant": 0.1, "worst-window": 0.3},
+		"reporting": object{"fields": []string{}, "how": "off"},
+		"specifics": object{"fades": "even", "kind-batch": batch, "separate-routes": apart, "max-calls": slots},
+		"limits": object{
+			"cancel": true, "conn-idle-ms": wire.Millis(idleSpan), "connect-timeout-ms": 1500.0, "max-retry-after-ms": 3000.0, "open-cap": hold,
+			"peers": false, "probes": true, "retry-after": true, "second-copies": true, "send-cap": 12, "streams-per-conn": 1,
+		},
+		"guarantees": object{
+			"answer-slack-ms": 20.0, "cold-from": 0.22, "cold-ms": 13000.0, "drain-grace-ms": 2000.0, "fall-ms": 2000.0, "fall-multiple": 2.0,
+			"must-ask-in-ms": 10000.0,
+		},
+	}
+}
+
+// Settings are the same, read as a sender reads them.
+func Settings(p *scenario.Plan, sender int, seed uint64) (control.Settings, error) {
+	text, err := json.Marshal(Profile(p, sender))
+	if err != nil {
+		return control.Settings{}, err
+	}
+	return wire.ParseSettings(text, seed)
+}
--- /dev/null
+++ b/internal/lab/tally.go
@@ -0,0 +1,193 @@
+package lab
+
+import (
+	"time"
+
+	"cleathold/internal/audit"
+	"cleathold/internal/scenario"
+)
+
+// windowSpan is the length of the stretches of which the worst counts.
+const windowSpan = 10 * time.Second
+
+// Score is the service of a run, as BRIEF 9 weighs it.
+type Score struct {
+	Messages int           `json:"messages"`
+	Service  float64       `json:"service"`
+	Whole    float64       `json:"whole"`
+	Worst    float64       `json:"worst_10s"`
+	WorstAt  time.Duration `json:"worst_at"`
+	Classes  []float64     `json:"classes"`
+	Tenants  []float64     `json:"tenants"`
+	Turned   int           `json:"turned"`  // hand-ins that got a fixed response
+	Refused  int           `json:"refused"` // calls that a partner turned away
+	Calls    int           `json:"calls"`
+}
+
+// A Tally counts service from a ledger's events. It keeps messages until their time
+// is up.
+type Tally struct {
+	classes  []scenario.Class
+	messages map[int]*asked
+	oldest   int // the first that may still be among them
+	longest  time.Duration
+	ids      map[string]*tried
+	calls    map[uint64][]string
+	windows  []worth
+	byClass  []worth
+	byTenant []worth
+	score    Score
+}
+
+// A worth is what was asked for and what was brought.
+type worth struct{ asked, brought float64 }
+
+func (w worth) share() float64 {
+	if w.asked == 0 {
+		return 1
+	}
+	return w.brought / w.asked
+}
+
+// asked is a client's message, over all its hand-ins.
+type asked struct {
+	class, tenant int
+	born          time.Duration
+	done          bool
+	ids           []string
+}
+
+// tried is one hand-in.
+type tried struct {
+	n         int
+	taken     bool
+	delivered bool // before its client heard that it is taken on
+}
+
+// NewTally counts the service of a scenario's run.
+func NewTally(s *scenario.Scenario) *Tally {
+	t := &Tally{
+		classes: s.Traffic.Classes, messages: map[int]*asked{}, ids: map[string]*tried{}, calls: map[uint64][]string{},
+		byClass: make([]worth, len(s.Traffic.Classes)), byTenant: make([]worth, len(s.Traffic.Tenants)),
+	}
+	for _, c := range s.Traffic.Classes {
+		t.longest = max(t.longest, c.Deadline)
+	}
+	return t
+}
+
+// Read takes an event.
+func (t *Tally) Read(e audit.Event) error {
+	switch e.What {
+	case audit.Asked:
+		t.asked(e)
+	case audit.HandIn:
+		t.ids[e.Message] = &tried{n: e.N}
+		if m := t.messages[e.N]; m != nil {
+			m.ids = append(m.ids, e.Message)
+		}
+	case audit.Taken:
+		if x := t.ids[e.Message]; x != nil {
+			if x.taken = true; x.delivered {
+				t.bring(x, e.At)
+			}
+		}
+	case audit.TurnedAt:
+		t.score.Turned++
+		delete(t.ids, e.Message)
+	case audit.Gone, audit.Notice:
+		delete(t.ids, e.Message)
+	case audit.Sent:
+		t.score.Calls++
+		if len(e.Messages) > 0 {
+			t.calls[e.Call] = e.Messages
+		}
+	case audit.Ended:
+		if e.Outcome == audit.NeverRan {
+			t.score.Refused++
+		}
+		for _, id := range t.calls[e.Call] {
+			if x := t.ids[id]; x != nil && e.Outcome == audit.Delivered {
+				if x.delivered = true; x.taken {
+					t.bring(x, e.At)
+				}
+			}
+		}
+		delete(t.calls, e.Call)
+	}
+	return nil
+}
+
+func (t *Tally) asked(e audit.Event) {
+	w := t.classes[e.Class].Worth
+	for i := int(e.At / windowSpan); len(t.windows) <= i; {
+		t.windows = append(t.windows, worth{})
+	}
+	t.windows[e.At/windowSpan].asked += w
+	t.byClass[e.Class].asked += w
+	t.byTenant[e.Tenant].asked += w
+	t.score.Messages++
+	t.messages[e.N] = &asked{class: e.Class, tenant: e.Tenant, born: e.At}
+	for ; t.oldest < e.N; t.oldest++ { // those whose time is up go
+		m := t.messages[t.oldest]
+		if m != nil && e.At < m.born+t.longest+5*time.Second {
+			break
+		}
+		if m != nil {
+			for _, id := range m.ids {
+				delete(t.ids, id)
+			}
+			delete(t.messages, t.oldest)
+		}
+	}
+}
+
+// bring counts the worth of a message, once.
+func (t *Tally) bring(x *tried, at time.Duration) {
+	m := t.messages[x.n]
+	if m == nil || m.done {
+		return
+	}
+	m.done = true
+	w := Worth(&t.classes[m.class], at-m.born)
+	t.windows[m.born/windowSpan].brought += w
+	t.byClass[m.class].brought += w
+	t.byTenant[m.tenant].brought += w
+}
+
+// Worth is what a message is worth that is delivered so long after it was wanted.
+func Worth(c *scenario.Class, age time.Duration) float64 {
+	if age <= c.Aim {
+		return c.Worth
+	}
+	return c.Worth * (1 - (1-c.Late)*min(1, float64(age-c.Aim)/float64(c.Deadline-c.Aim)))
+}
+
+// Score is the service so far.
+func (t *Tally) Score() Score {
+	s := t.score
+	s.Worst = 1
+	whole := worth{}
+	for i, w := range t.windows {
+		whole.asked += w.asked
+		whole.brought += w.brought
+		if x := w.share(); x < s.Worst && w.asked > 0 {
+			s.Worst, s.WorstAt = x, time.Duration(i)*windowSpan
+		}
+	}
+	s.Whole = whole.share()
+	class, tenant := 1.0, 1.0
+	for _, w := range t.byClass {
+		s.Classes = append(s.Classes, w.share())
+		class = min(class, w.share())
+	}
+	for _, w := range t.byTenant {
+		s.Tenants = append(s.Tenants, w.share())
+		tenant = min(tenant, w.share())
+	}
+	s.Service = 0.4*s.Whole + 0.3*s.Worst + 0.2*class + 0.1*tenant
+	return s
+}
+
+// Held is how many messages, hand-ins and calls are remembered.
+func (t *Tally) Held() int { return len(t.messages) + len(t.ids) + len(t.calls) }
--- a/internal/partner/spec.go
+++ b/internal/partner/spec.go
@@ -128,13 +128,14 @@
 	Breaking      // a share of the calls breaks in the middle, after their effect or before
 	Spoiling      // a share of the answers can't be read
 	Fallen        // pushed over: down until it is set otherwise
+	Cut           // its limit is a part of the usual
 )
 
 // Trouble is a mode with its size.
 type Trouble struct {
 	Mode   Mode
 	Share  float64       // Failing, Breaking, Spoiling: of the calls
-	Factor float64       // Slow: times the service time
+	Factor float64       // Slow: times the service time. Cut: times the limit
 	Until  time.Duration // when it ends, as far as a told wait may tell it; 0 = not known
 }
 
@@ -151,8 +152,9 @@
 
 // Message is one message of a call.
 type Message struct {
-	ID  string
-	Key string // empty: each call of it takes effect
+	ID    string
+	Key   string // empty: each call of it takes effect
+	Class int    // as its effect tells it
 }
 
 // Call is one call that has come in whole.
@@ -161,10 +163,21 @@
 	Sender   int
 	Endpoint string
 	Fresh    bool // the first on its connection
+	Crowded  bool // on a connection that is one too many
 	Probe    bool // without messages
 	Messages []Message
 }
 
+// Door is how a connection is received.
+type Door uint8
+
+// The receptions.
+const (
+	Opens   Door = iota
+	Refuses      // nobody listens
+	Crowds       // it comes up, and what is sent on it is turned away
+)
+
 // Kind says how a call is answered.
 type Kind uint8
 
@@ -194,9 +207,9 @@
 type Effect struct {
 	At       time.Duration
 	Call     uint64
-	Message  string
-	Key      string
+	Message  Message
 	Endpoint string
+	Sender   int
 	Dropped  bool // a key that was remembered
 	Late     bool // after the call was cancelled
 }
--- /dev/null
+++ b/internal/report/page.go
@@ -0,0 +1,296 @@
+package report
+
+import (
+	"bytes"
+	"fmt"
+	"html/template"
+	"image/color"
+	"io"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/vg"
+	"gonum.org/v1/plot/vg/draw"
+	"gonum.org/v1/plot/vg/vgsvg"
+
+	"cleathold/internal/audit"
+	"cleathold/internal/scenario"
+)
+
+// Page is a run's report.
+type Page struct {
+	Title   string
+	Lines   []Line // what was played, and what came of it
+	Breaks  []audit.Break
+	Marks   []Mark
+	Classes []ClassLine
+	Causes  []CauseLine
+	Plots   []Plot
+	notes   []string
+}
+
+// Line is a fact with its name.
+type Line struct{ Name, Value string }
+
+// Mark is something on the time axis.
+type Mark struct {
+	Number int
+	Span   string
+	Text   string
+}
+
+// ClassLine is how long a class's messages took, in milliseconds.
+type ClassLine struct {
+	Class                        string
+	Delivered                    int64
+	Share                        float64
+	P50, P90, P99, P999, Longest int64
+}
+
+// CauseLine is how often something came to nothing.
+type CauseLine struct {
+	Cause string
+	Count int
+}
+
+// Plot is a drawing.
+type Plot struct {
+	Title string
+	SVG   template.HTML
+}
+
+// Facts are what a page says of a run besides its events.
+type Facts struct {
+	Head   []Line
+	Breaks []audit.Break
+	Notes  []string // warnings: late rig, ledger broken off
+}
+
+// Page draws what was collected.
+func (c *Collector) Page(f Facts) (*Page, error) {
+	score := c.tally.Score()
+	p := &Page{Title: c.plan.Scenario.Name, Breaks: f.Breaks, notes: f.Notes}
+	p.Lines = append(p.Lines, f.Head...)
+	p.Lines = append(p.Lines,
+		Line{"service", fmt.Sprintf("%.3f (whole %.3f, worst 10 s %.3f at %v)", score.Service, score.Whole, score.Worst, score.WorstAt)},
+		Line{"messages", fmt.Sprintf("%d; %d calls, %d of them turned away by partners; %d hand-ins turned away", score.Messages, score.Calls, score.Refused, score.Turned)},
+		Line{"senders that ended", fmt.Sprint(c.deaths)},
+		Line{"rules", rules(f.Breaks)},
+	)
+	marks := c.plan.Marks()
+	for i, m := range marks {
+		p.Marks = append(p.Marks, Mark{i + 1, span(m), m.Text})
+	}
+	for i, class := range c.plan.Scenario.Traffic.Classes {
+		h := c.byClass[i]
+		p.Classes = append(p.Classes, ClassLine{
+			class.Name, h.TotalCount(), score.Classes[i],
+			h.ValueAtQuantile(50), h.ValueAtQuantile(90), h.ValueAtQuantile(99), h.ValueAtQuantile(99.9), h.Max(),
+		})
+	}
+	for _, word := range c.Causes() {
+		p.Causes = append(p.Causes, CauseLine{word, c.causes[word]})
+	}
+	for _, d := range []struct {
+		title, y string
+		lines    []series
+		marks    bool
+	}{
+		{"Service", "share of the worth asked for", []series{{"brought, by the time it was wanted", c.series(func(b *bin) (float64, bool) { return b.brought / max(b.asked, 1e-9), b.asked > 0 })}}, true},
+		{"What came to nothing", "in each " + c.width.String(), c.causeSeries(), true},
+		{"Calls in flight, messages that wait", "at most", []series{
+			{"calls out", c.series(func(b *bin) (float64, bool) { return float64(b.flying), true })},
+			{"messages without an end", c.series(func(b *bin) (float64, bool) { return float64(b.waiting), true })},
+		}, true},
+		{"Age of the oldest message without an end", "seconds", []series{{"oldest", c.series(func(b *bin) (float64, bool) { return b.oldest.Seconds(), true })}}, true},
+		{"How long messages took, by class", "share delivered by then", c.latencies(), false},
+	} {
+		svg, err := c.draw(d.title, d.y, d.lines, marks, d.marks)
+		if err != nil {
+			return nil, fmt.Errorf("report: %s: %w", d.title, err)
+		}
+		p.Plots = append(p.Plots, Plot{d.title, svg})
+	}
+	return p, nil
+}
+
+func rules(breaks []audit.Break) string {
+	if len(breaks) == 0 {
+		return "kept"
+	}
+	return fmt.Sprintf("BROKEN %d times", len(breaks))
+}
+
+func span(m scenario.Mark) string {
+	if m.To <= m.From {
+		return fmt.Sprintf("%.1f s", m.From.Seconds())
+	}
+	return fmt.Sprintf("%.1f to %.1f s", m.From.Seconds(), m.To.Seconds())
+}
+
+// series is one line of a plot.
+type series struct {
+	name   string
+	points plotter.XYs
+}
+
+// series draws a figure of each bin.
+func (c *Collector) series(of func(*bin) (float64, bool)) plotter.XYs {
+	var list plotter.XYs
+	for i := range c.bins {
+		if y, some := of(&c.bins[i]); some {
+			list = append(list, plotter.XY{X: (time.Duration(i) * c.width).Seconds(), Y: y})
+		}
+	}
+	return list
+}
+
+// causesMost are drawn; the rest stand in the table.
+const causesMost = 6
+
+func (c *Collector) causeSeries() []series {
+	var list []series
+	for _, word := range c.Causes() {
+		if len(list) == causesMost {
+			break
+		}
+		list = append(list, series{word, c.series(func(b *bin) (float64, bool) { return float64(b.causes[word]), true })})
+	}
+	return list
+}
+
+// latencies are the histograms as shares over milliseconds.
+func (c *Collector) latencies() []series {
+	var list []series
+	for i, class := range c.plan.Scenario.Traffic.Classes {
+		s := series{name: class.Name}
+		for _, q := range c.byClass[i].CumulativeDistribution() {
+			s.points = append(s.points, plotter.XY{X: float64(q.ValueAt) / 1000, Y: q.Quantile / 100})
+		}
+		list = append(list, s)
+	}
+	return list
+}
+
+var colours = []color.Color{
+	color.RGBA{31, 119, 180, 255}, color.RGBA{214, 39, 40, 255}, color.RGBA{44, 160, 44, 255}, color.RGBA{148, 103, 189, 255},
+	color.RGBA{255, 127, 14, 255}, color.RGBA{23, 190, 207, 255},
+}
+
+// draw makes one plot. Times that a trouble takes are shaded, and numbered.
+func (c *Collector) draw(title, y string, lines []series, marks []scenario.Mark, timed bool) (template.HTML, error) {
+	p := plot.New()
+	p.Title.Text, p.Y.Label.Text, p.X.Label.Text = title, y, "seconds"
+	p.Y.Min = 0
+	top := 0.0
+	for _, s := range lines {
+		for _, xy := range s.points {
+			top = max(top, xy.Y)
+		}
+	}
+	if top == 0 {
+		top = 1
+	}
+	if timed {
+		labels := plotter.XYLabels{}
+		for i, m := range marks {
+			from, to := m.From.Seconds(), m.To.Seconds()
+			if to <= from {
+				to = from + c.plan.Scenario.Length.Seconds()/1000
+			}
+			box, err := plotter.NewPolygon(plotter.XYs{{X: from, Y: 0}, {X: to, Y: 0}, {X: to, Y: top}, {X: from, Y: top}})
+			if err != nil {
+				return "", err
+			}
+			box.Color, box.LineStyle.Width = color.RGBA{235, 225, 205, 255}, 0
+			p.Add(box)
+			labels.XYs = append(labels.XYs, plotter.XY{X: from, Y: top})
+			labels.Labels = append(labels.Labels, fmt.Sprint(i+1))
+		}
+		if len(labels.Labels) > 0 {
+			l, err := plotter.NewLabels(labels)
+			if err != nil {
+				return "", err
+			}
+			p.Add(l)
+		}
+	}
+	for i, s := range lines {
+		if len(s.points) == 0 {
+			continue
+		}
+		l, err := plotter.NewLine(s.points)
+		if err != nil {
+			return "", err
+		}
+		l.Color, l.Width = colours[i%len(colours)], vg.Points(1.2)
+		p.Add(l)
+		p.Legend.Add(s.name, l)
+	}
+	p.Legend.Top = true
+	p.Y.Max = top * 1.15
+	canvas := vgsvg.New(22*vg.Centimeter, 7*vg.Centimeter)
+	p.Draw(draw.New(canvas))
+	var text bytes.Buffer
+	if _, err := canvas.WriteTo(&text); err != nil {
+		return "", err
+	}
+	svg := text.String()
+	if i := strings.Index(svg, "<svg"); i >= 0 {
+		svg = svg[i:] // the page has a head of its own
+	}
+	return template.HTML(svg), nil // made here, from numbers and escaped words
+}
+
+var page = template.Must(template.New("page").Parse(`<!DOCTYPE html>
+<html lang="en"><head><meta charset="utf-8"><title>{{.Title}}</title>
+<style>body{font:15px sans-serif;margin:2em auto;max-width:60em}td,th{padding:.15em .8em;text-align:left;vertical-align:top}
+th{font-weight:600}.bad{color:#b00}svg{display:block;margin:1em 0;max-width:100%;height:auto}</style></head><body>
+<h1>{{.Title}}</h1>
+{{range .Notes}}<p class="bad">{{.}}</p>{{end}}
+<table>{{range .Lines}}<tr><th>{{.Name}}</th><td>{{.Value}}</td></tr>{{end}}</table>
+{{if .Breaks}}<h2 class="bad">Broken rules</h2><table>{{range .Breaks}}<tr><td>{{.At}}</td><td>sender {{.Sender}}</td><td>{{.Rule}}: {{.Text}}</td><td>message {{.Message}} calls {{.Calls}} times {{.Times}}</td></tr>{{end}}</table>{{end}}
+{{if .Marks}}<h2>What happened</h2><table>{{range .Marks}}<tr><th>{{.Number}}</th><td>{{.Span}}</td><td>{{.Text}}</td></tr>{{end}}</table>{{end}}
+{{range .Plots}}{{.SVG}}{{end}}
+<h2>How long messages took, in ms from when they were wanted</h2>
+<table><tr><th>class</th><th>delivered</th><th>share of worth</th><th>50%</th><th>90%</th><th>99%</th><th>99.9%</th><th>longest</th></tr>
+{{range .Classes}}<tr><td>{{.Class}}</td><td>{{.Delivered}}</td><td>{{printf "%.3f" .Share}}</td><td>{{.P50}}</td><td>{{.P90}}</td><td>{{.P99}}</td><td>{{.P999}}</td><td>{{.Longest}}</td></tr>{{end}}</table>
+<h2>What came to nothing</h2>
+<table>{{range .Causes}}<tr><td>{{.Cause}}</td><td>{{.Count}}</td></tr>{{end}}</table>
+</body></html>
+`))
+
+// Notes are the warnings.
+func (p *Page) Notes() []string { return p.notes }
+
+// HTML writes the page as one file.
+func (p *Page) HTML(out io.Writer) error { return page.Execute(out, p) }
+
+// Text writes it without its drawings.
+func (p *Page) Text(out io.Writer) error {
+	fmt.Fprintln(out, p.Title)
+	for _, n := range p.notes {
+		fmt.Fprintln(out, "NOTE:", n)
+	}
+	t := tabwriter.NewWriter(out, 0, 4, 2, ' ', 0)
+	for _, l := range p.Lines {
+		fmt.Fprintf(t, "%s\t%s\n", l.Name, l.Value)
+	}
+	for _, b := range p.Breaks {
+		fmt.Fprintf(t, "BROKEN\t%v by sender %d: %s: %s (message %s, calls %v, times %v)\n", b.At, b.Sender, b.Rule, b.Text, b.Message, b.Calls, b.Times)
+	}
+	for _, m := range p.Marks {
+		fmt.Fprintf(t, "%d\t%s\t%s\n", m.Number, m.Span, m.Text)
+	}
+	fmt.Fprintln(t, "class\tdelivered\tshare\t50%\t90%\t99%\t99.9%\tlongest ms")
+	for _, c := range p.Classes {
+		fmt.Fprintf(t, "%s\t%d\t%.3f\t%d\t%d\t%d\t%d\t%d\n", c.Class, c.Delivered, c.Share, c.P50, c.P90, c.P99, c.P999, c.Longest)
+	}
+	for _, c := range p.Causes {
+		fmt.Fprintf(t, "%s\t%d\n", c.Cause, c.Count)
+	}
+	return t.Flush()
+}
--- /dev/null
+++ b/internal/rig/clients.go
@@ -0,0 +1,406 @@
+package rig
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"cleathold/internal/audit"
+	"cleathold/internal/scenario"
+)
+
+const (
+	openMost  = 20_000 // hand-ins under way; more are left out, and the run is marked
+	idleMost  = 256    // idle connections to a sender
+	deadTries = 8      // hand-ins of one message that reach nobody, at most
+	frontSpan = 2 * time.Second
+)
+
+// Clients hand in what a plan's arrivals are, each at its time whatever became of
+// those before it, and come again as BRIEF 6 says. Latency counts from the time at
+// which a message was wanted.
+type Clients struct {
+	w       *World
+	senders []*front
+
+	mu      sync.Mutex
+	rng     *rand.Rand
+	open    int
+	left    int // left out
+	asked   int
+	pending map[string]*wanted // ids that may still be heard of
+	lag     *hdrhistogram.Histogram
+	door    *hdrhistogram.Histogram // from the time wanted to the sender's answer
+	answers map[int]int             // by status; 0 = none
+}
+
+// A front is a sender as clients see it.
+type front struct {
+	addr string
+	mu   sync.Mutex
+	idle []*client
+	down time.Time // since when nobody is there; zero = somebody is
+}
+
+type client struct {
+	net.Conn
+	in *bufio.Reader
+}
+
+// wanted is a message with its hand-ins.
+type wanted struct {
+	scenario.Arrival
+	serial  int
+	tries   int
+	nowhere int
+	done    bool
+}
+
+// NewClients makes clients of senders at these addresses.
+func (w *World) NewClients(addresses []string) *Clients {
+	c := &Clients{
+		w: w, rng: rand.New(rand.NewPCG(w.plan.Seed, 99)), pending: map[string]*wanted{}, lag: newLag(), door: newLag(), answers: map[int]int{},
+	}
+	for _, a := range addresses {
+		c.senders = append(c.senders, &front{addr: a})
+	}
+	w.mu.Lock()
+	w.heard, w.served = c.heard, c.served
+	w.mu.Unlock()
+	return c
+}
+
+// SetDown tells the front layer that a sender's process has ended, or is there
+// again. The front itself notices after a while.
+func (c *Clients) SetDown(sender int, down bool) {
+	f := c.senders[sender]
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if down {
+		if f.down.IsZero() {
+			f.down = time.Now()
+		}
+		return
+	}
+	f.down = time.Time{}
+}
+
+// Run hands in until the plan's last arrival.
+func (c *Clients) Run() {
+	arrivals := c.w.plan.Arrivals()
+	for a, some := arrivals.Next(); some; a, some = arrivals.Next() {
+		if c.w.now() < a.At && !c.w.at(a.At) || c.w.ctx.Err() != nil {
+			return
+		}
+		c.mu.Lock()
+		record(c.lag, c.w.now()-a.At)
+		c.asked++
+		full := c.open >= openMost
+		if full {
+			c.left++
+		} else {
+			c.open++
+		}
+		c.mu.Unlock()
+		c.w.Note(audit.Event{What: audit.Asked, N: a.N, Class: a.Class, Tenant: a.Tenant, Dest: a.Dest})
+		if full {
+			continue
+		}
+		m := &wanted{Arrival: a}
+		c.w.wg.Go(func() {
+			c.handIn(m)
+			c.mu.Lock()
+			c.open--
+			c.mu.Unlock()
+		})
+	}
+}
+
+// after does something later, unless the world ends before.
+func (c *Clients) after(d time.Duration, do func()) {
+	c.mu.Lock()
+	if c.open >= openMost {
+		c.left++
+		c.mu.Unlock()
+		return
+	}
+	c.open++
+	c.mu.Unlock()
+	c.w.wg.Go(func() {
+		if c.w.sleep(d) {
+			do()
+		}
+		c.mu.Lock()
+		c.open--
+		c.mu.Unlock()
+	})
+}
+
+// choose deals a hand-in out: to any sender but those that the front knows are gone.
+func (c *Clients) choose() (int, *front) {
+	c.mu.Lock()
+	first := c.rng.IntN(len(c.senders))
+	c.mu.Unlock()
+	for i := range c.senders {
+		n := (first + i) % len(c.senders)
+		f := c.senders[n]
+		f.mu.Lock()
+		known := !f.down.IsZero() && time.Since(f.down) > frontSpan
+		f.mu.Unlock()
+		if !known {
+			return n, f
+		}
+	}
+	return first, c.senders[first]
+}
+
+// errNobody tells that a hand-in did not reach a sender whole.
+var errNobody = errors.New("nobody there")
+
+// handIn hands a message in, for the first time or again.
+func (c *Clients) handIn(m *wanted) {
+	w := c.w
+	s := w.plan.Scenario
+	class := &s.Traffic.Classes[m.Class]
+	now := w.now()
+	left := m.At + class.Deadline - now
+	c.mu.Lock()
+	done, id, serial := m.done, fmt.Sprintf("m%d-%d", m.N, m.serial), m.serial
+	c.mu.Unlock()
+	if left <= 0 || done {
+		return
+	}
+	num, f := c.choose()
+	conn, reused, err := f.get(time.Now().Add(s.Traffic.Patience))
+	if err != nil {
+		c.nowhere(m)
+		return
+	}
+	c.mu.Lock()
+	m.serial++
+	c.pending[id] = m
+	c.mu.Unlock()
+	key := ""
+	if class.Effect == "keyed" {
+		key = fmt.Sprint("k", m.N)
+	}
+	w.hand(audit.Event{What: audit.HandIn, Sender: num, Message: id, Class: m.Class, Dest: m.Dest, Left: left, Key: key, N: m.N, Tenant: m.Tenant})
+	limit := time.Now().Add(s.Traffic.Patience)
+	text := request(s, m, id, key, left, serial > 0)
+	r, err := conn.ask(text, limit)
+	if err != nil && reused && errors.Is(err, io.EOF) { // its close crossed the request
+		if conn, err = f.dial(limit); err == nil {
+			r, err = conn.ask(text, limit)
+		}
+	}
+	status := 0
+	if err == nil {
+		status = r.StatusCode
+	}
+	c.mu.Lock()
+	c.answers[status]++
+	if serial == 0 {
+		record(c.door, w.now()-m.At)
+	}
+	c.mu.Unlock()
+	switch {
+	case err != nil:
+		if conn != nil {
+			conn.Close()
+		}
+		cause := "died"
+		if errors.Is(err, errLate) {
+			cause = "timeout"
+		}
+		w.Note(audit.Event{What: audit.Gone, Sender: num, Message: id, Cause: cause})
+		c.forget(id)
+		c.nowhere(m)
+		return
+	case status == http.StatusAccepted || status == http.StatusOK:
+		w.Note(audit.Event{What: audit.Taken, Sender: num, Message: id})
+	case status == http.StatusTooManyRequests || status == http.StatusServiceUnavailable:
+		again, _ := strconv.ParseFloat(r.Header.Get("Retry-After"), 64)
+		told := time.Duration(again * float64(time.Second))
+		w.Note(audit.Event{What: audit.TurnedAt, Sender: num, Message: id, Wait: told})
+		c.forget(id)
+		c.refused(m, told)
+	default:
+		w.Note(audit.Event{What: audit.TurnedAt, Sender: num, Message: id, Cause: "failed"})
+		c.forget(id)
+	}
+	if r.Close {
+		conn.Close()
+		return
+	}
+	f.put(conn)
+}
+
+// request is a hand-in as PROTOCOL has it.
+func request(s *scenario.Scenario, m *wanted, id, key string, left time.Duration, again bool) []byte {
+	text := fmt.Appendf(nil, "POST /%s HTTP/1.1\r\nHost: app.svc\r\nX-Request-Id: %s\r\nX-Tenant: %s\r\nX-Deadline: %.6f\r\nX-Addressing: dest=%d\r\nContent-Length: %d\r\n",
+		s.Traffic.Classes[m.Class].Name, id, s.Traffic.Tenants[m.Tenant].Name, left.Seconds(), m.Dest, m.Size)
+	if key != "" {
+		text = fmt.Appendf(text, "Idempotency-Key: %s\r\n", key)
+	}
+	if again {
+		text = append(text, "X-Retry: 1\r\n"...)
+	}
+	text = append(text, "\r\n"...)
+	return append(text, make([]byte, m.Size)...)
+}
+
+func (c *Clients) forget(id string) {
+	c.mu.Lock()
+	delete(c.pending, id)
+	c.mu.Unlock()
+}
+
+// span draws from a range of seconds.
+func (c *Clients) span(r scenario.Range) time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return time.Duration((r.From + (r.To-r.From)*c.rng.Float64()) * float64(time.Second))
+}
+
+// nowhere has a client hand in again what reached nobody.
+func (c *Clients) nowhere(m *wanted) {
+	c.mu.Lock()
+	m.nowhere++
+	more := m.nowhere < deadTries
+	c.mu.Unlock()
+	if more {
+		c.after(c.span(c.w.plan.Scenario.Traffic.AgainIn), func() { c.handIn(m) })
+	}
+}
+
+// refused has a client come again, as often as the scenario says.
+func (c *Clients) refused(m *wanted, told time.Duration) {
+	t := c.w.plan.Scenario.Traffic
+	c.mu.Lock()
+	m.tries++
+	more := !m.done && m.tries <= t.Retries
+	c.mu.Unlock()
+	if more {
+		c.after(max(told, c.span(t.RetryIn)), func() { c.handIn(m) })
+	}
+}
+
+// heard is told of a notice.
+func (c *Clients) heard(id string, deferred bool, again time.Duration) {
+	c.mu.Lock()
+	m := c.pending[id]
+	delete(c.pending, id)
+	c.mu.Unlock()
+	if m != nil && deferred {
+		c.refused(m, again)
+	}
+}
+
+// served is told of deliveries.
+func (c *Clients) served(ids []string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, id := range ids {
+		if m := c.pending[id]; m != nil {
+			m.done = true
+			delete(c.pending, id)
+		}
+	}
+}
+
+// Seen is what the clients saw.
+type Seen struct {
+	Lag     Lag         `json:"lag"`  // of the hand-ins, against the plan
+	Door    Lag         `json:"door"` // from the time wanted to the sender's answer
+	Answers map[int]int `json:"answers"`
+	LeftOut int         `json:"left_out"`
+}
+
+// Seen tells what the clients saw so far.
+func (c *Clients) Seen() Seen {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	s := Seen{Lag: lagOf(c.lag), Door: lagOf(c.door), Answers: map[int]int{}, LeftOut: c.left}
+	for status, n := range c.answers {
+		s.Answers[status] = n
+	}
+	return s
+}
+
+// Close closes the idle connections.
+func (c *Clients) Close() {
+	for _, f := range c.senders {
+		f.mu.Lock()
+		for _, x := range f.idle {
+			x.Close()
+		}
+		f.idle = nil
+		f.mu.Unlock()
+	}
+}
+
+// get takes an idle connection, or opens one.
+func (f *front) get(limit time.Time) (c *client, reused bool, err error) {
+	f.mu.Lock()
+	if n := len(f.idle); n > 0 {
+		c = f.idle[n-1]
+		f.idle = f.idle[:n-1]
+		f.mu.Unlock()
+		return c, true, nil
+	}
+	f.mu.Unlock()
+	c, err = f.dial(limit)
+	return c, false, err
+}
+
+func (f *front) dial(limit time.Time) (*client, error) {
+	conn, err := (&net.Dialer{Deadline: limit}).Dial("tcp4", f.addr)
+	if err != nil {
+		return nil, errors.Join(errNobody, err)
+	}
+	return &client{conn, bufio.NewReader(conn)}, nil
+}
+
+func (f *front) put(c *client) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if len(f.idle) >= idleMost {
+		c.Close()
+		return
+	}
+	f.idle = append(f.idle, c)
+}
+
+// errLate tells that no answer came while a client waited.
+var errLate = errors.New("no answer in time")
+
+// ask sends a request and reads the answer. io.EOF tells that the connection was
+// closed before any of it came.
+func (c *client) ask(text []byte, limit time.Time) (*http.Response, error) {
+	c.SetDeadline(limit)
+	_, err := c.Write(text)
+	if err == nil {
+		if _, err = c.in.Peek(1); err == nil {
+			var r *http.Response
+			if r, err = http.ReadResponse(c.in, nil); err == nil {
+				_, err = io.Copy(io.Discard, r.Body)
+				return r, err
+			}
+			return nil, err
+		}
+	}
+	var n net.Error
+	if errors.As(err, &n) && n.Timeout() {
+		return nil, errLate
+	}
+	return nil, io.EOF // closed or reset
+}
--- /dev/null
+++ b/internal/rig/process.go
@@ -0,0 +1,218 @@
+package rig
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"runtime"
+	"sync"
+	"syscall"
+	"time"
+
+	"cleathold/internal/lab"
+	"cleathold/internal/scenario"
+)
+
+const (
+	readySpan   = 30 * time.Second
+	restartSpan = 600 * time.Millisecond
+	killSpan    = 3700 * time.Millisecond // from SIGTERM to SIGKILL
+	logTail     = 600                     // bytes of its log that go with an error
+)
+
+// A Process is one sender: its place, and whoever runs there now.
+type Process struct {
+	num      int
+	program  string
+	dir      string // configuration, state and log
+	addr     string
+	settings string // a script of our own; may be empty
+
+	mu    sync.Mutex
+	cmd   *exec.Cmd
+	ended chan struct{} // closed when it has ended
+	err   error         // how
+}
+
+// NewProcess prepares a sender's folder. Nothing runs yet.
+func NewProcess(p *scenario.Plan, num int, program, dir, discovery, settings string) (*Process, error) {
+	state := filepath.Join(dir, "state")
+	if err := os.MkdirAll(state, 0o700); err != nil {
+		return nil, fmt.Errorf("rig: %w", err)
+	}
+	addr, err := freePort()
+	if err != nil {
+		return nil, err
+	}
+	x := &Process{num: num, program: program, dir: dir, addr: addr, settings: settings}
+	config, err := json.MarshalIndent(map[string]any{
+		"name": fmt.Sprint("n", num), "listen": addr, "discovery": discovery, "state": state,
+		"limits":   map[string]any{"cores": 1, "memory_mb": 192, "sockets": 1024, "disk_mb": 3},
+		"known":    map[string]any{"version": 0, "full": true, "servers": []any{}},
+		"settings": lab.Profile(p, num),
+	}, "", " ")
+	if err == nil {
+		err = os.WriteFile(x.config(), config, 0o600)
+	}
+	if err != nil {
+		return nil, fmt.Errorf("rig: %w", err)
+	}
+	return x, nil
+}
+
+func (x *Process) config() string { return filepath.Join(x.dir, "config.json") }
+
+// freePort finds a port below those that connections get from the kernel, so that
+// none of them sits on it while its sender is down.
+func freePort() (string, error) {
+	ports.Lock()
+	defer ports.Unlock()
+	for range 10_000 {
+		if ports.next < 20_000 || ports.next >= 32_000 {
+			ports.next = 20_000 + os.Getpid()%12_000
+		}
+		addr := fmt.Sprintf("127.0.0.1:%d", ports.next)
+		ports.next++
+		if l, err := net.Listen("tcp4", addr); err == nil {
+			l.Close()
+			return addr, nil
+		}
+	}
+	return "", errors.New("rig: no free port from 20000 to 32000")
+}
+
+var ports struct {
+	sync.Mutex
+	next int
+}
+
+// Start starts the program. It dies with this process, however that ends.
+func (x *Process) Start() error {
+	log, err := os.OpenFile(filepath.Join(x.dir, "log"), os.O_WRONLY|os.O_CREATE|os.O_APPEND, 0o600)
+	if err != nil {
+		return fmt.Errorf("rig: %w", err)
+	}
+	c := exec.Command(x.program, "serve")
+	c.Env = append(os.Environ(), "LB_CONFIG="+x.config(), "CLEATHOLD_SETTINGS="+x.settings, "LB_LISTEN=", "LB_STATE=", "LB_DISCOVERY=", "LB_NAME=")
+	c.Stdout, c.Stderr = log, log
+	// Ctrl-C at the terminal is for the rig, which ends its senders itself.
+	c.SysProcAttr = &syscall.SysProcAttr{Setpgid: true, Pdeathsig: syscall.SIGKILL}
+	started := make(chan error, 1)
+	ended := make(chan struct{})
+	go func() {
+		// The kernel sends the death signal when the thread ends that started the
+		// child: this one stays until the child has ended.
+		runtime.LockOSThread()
+		defer runtime.UnlockOSThread()
+		defer close(ended)
+		defer log.Close()
+		err := c.Start()
+		started <- err
+		if err != nil {
+			return
+		}
+		err = c.Wait()
+		x.mu.Lock()
+		x.err = err
+		x.mu.Unlock()
+	}()
+	if err := <-started; err != nil {
+		return fmt.Errorf("rig: sender n%d: %w", x.num, err)
+	}
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.cmd, x.ended, x.err = c, ended, nil
+	return nil
+}
+
+// Ended is closed when the one that runs now has ended.
+func (x *Process) Ended() <-chan struct{} {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.ended
+}
+
+// Signal sends a signal to the one that runs.
+func (x *Process) Signal(s os.Signal) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if x.cmd != nil && x.cmd.Process != nil {
+		x.cmd.Process.Signal(s) // one that has ended needs none
+	}
+}
+
+// Ready waits until the sender answers that it is.
+func (x *Process) Ready(ctx context.Context, until time.Time) error {
+	for ctx.Err() == nil {
+		if x.healthy() {
+			return nil
+		}
+		select {
+		case <-x.Ended():
+			return fmt.Errorf("rig: sender n%d ended before it was ready: %v; its log ends: %s", x.num, x.outcome(), x.tail())
+		case <-ctx.Done():
+		case <-time.After(10 * time.Millisecond):
+		}
+		if time.Now().After(until) {
+			return fmt.Errorf("rig: sender n%d is not ready in time; its log ends: %s", x.num, x.tail())
+		}
+	}
+	return context.Cause(ctx)
+}
+
+func (x *Process) outcome() error {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.err
+}
+
+func (x *Process) healthy() bool {
+	limit := time.Now().Add(time.Second)
+	c, err := (&front{addr: x.addr}).dial(limit)
+	if err != nil {
+		return false
+	}
+	defer c.Close()
+	r, err := c.ask([]byte("GET /_health HTTP/1.1\r\nHost: app.svc\r\n\r\n"), limit)
+	return err == nil && r.StatusCode == http.StatusOK
+}
+
+// tail is the end of its log.
+func (x *Process) tail() string {
+	f, err := os.Open(filepath.Join(x.dir, "log"))
+	if err != nil {
+		return err.Error()
+	}
+	defer f.Close()
+	if info, err := f.Stat(); err == nil && info.Size() > logTail {
+		f.Seek(-logTail, io.SeekEnd)
+	}
+	text, _ := io.ReadAll(io.LimitReader(f, logTail))
+	return string(bytes.TrimSpace(text))
+}
+
+// Stop ends the one that runs: in order, or at once.
+func (x *Process) Stop(orderly bool) {
+	ended := x.Ended()
+	if ended == nil {
+		return
+	}
+	if orderly {
+		x.Signal(syscall.SIGTERM)
+		select {
+		case <-ended:
+			return
+		case <-time.After(killSpan):
+		}
+	}
+	x.Signal(syscall.SIGKILL)
+	<-ended
+}
--- /dev/null
+++ b/internal/rig/rig_test.go
@@ -0,0 +1,310 @@
+package rig
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+
+	"cleathold/internal/audit"
+	"cleathold/internal/partner"
+	"cleathold/internal/scenario"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// aWorld is one with doors and a clock that runs.
+func aWorld(t *testing.T, more string) (*World, *scenario.Plan) {
+	t.Helper()
+	text, err := os.ReadFile("../../examples/scenarios/building-refuses.star")
+	if err != nil {
+		t.Fatal(err)
+	}
+	script, _, _ := strings.Cut(string(text), "trouble(")
+	s, err := scenario.Parse("s.star", []byte(script+more), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	p := s.Plan(1)
+	w, err := NewWorld(t.Context(), p, slog.New(slog.DiscardHandler), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := w.Doors(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { w.Close() })
+	w.Begin()
+	return w, p
+}
+
+// say sends one request to an address.
+func say(t *testing.T, addr, text string) (*http.Response, string, error) {
+	t.Helper()
+	c, err := net.Dial("tcp", addr)
+	if err != nil {
+		return nil, "", err
+	}
+	defer c.Close()
+	c.SetDeadline(time.Now().Add(20 * time.Second))
+	io.WriteString(c, text)
+	r, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		return nil, "", err
+	}
+	body, err := io.ReadAll(r.Body)
+	return r, string(body), err
+}
+
+// served says it again until it is served: a limit may turn it away for a while.
+func served(t *testing.T, addr, text string) (body string) {
+	t.Helper()
+	wait(t, "an answer", func() bool {
+		r, got, err := say(t, addr, text)
+		if err != nil {
+			t.Fatal(err)
+		}
+		body = got
+		return r.StatusCode == 200
+	})
+	return body
+}
+
+func receive(id string) string {
+	return "POST /receive HTTP/1.1\r\nHost: h\r\nX-Request-Id: " + id + "\r\nX-Deadline: 5\r\nContent-Length: 2\r\n\r\nhi"
+}
+
+// with does something under the world's lock.
+func (w *World) with(do func()) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	do()
+}
+
+// handIn enters a message that a client handed in to sender 0.
+func handIn(w *World, id string, dest int) {
+	w.hand(audit.Event{What: audit.HandIn, Message: id, Dest: dest, Left: 8 * time.Second})
+	w.Note(audit.Event{What: audit.Taken, Message: id})
+}
+
+func TestDoor(t *testing.T) {
+	w, p := aWorld(t, "")
+	d := p.Dests[0]
+	door := w.doors[0][d.Endpoints[0].ID]
+	handIn(w, "a", d.Dest)
+	handIn(w, "b", d.Dest)
+	served(t, door.addr, receive("a"))
+	if body := served(t, door.addr, "POST /receive-many HTTP/1.1\r\nHost: h\r\nContent-Length: 11\r\n\r\nb - 2\r\nhi\r\n"); body != "b delivered\r\n" {
+		t.Errorf("%q", body)
+	}
+	for name, c := range map[string]struct {
+		text string
+		want int
+	}{
+		"no id":       {"POST /receive HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n", 400},
+		"twice in it": {"POST /receive-many HTTP/1.1\r\nHost: h\r\nContent-Length: 22\r\n\r\nb - 2\r\nhi\r\nb - 2\r\nhi\r\n", 400},
+		"odd path":    {"GET /x HTTP/1.1\r\nHost: h\r\n\r\n", 404},
+		"no request":  {"what\r\n\r\n", 400},
+	} {
+		if r, _, err := say(t, door.addr, c.text); err != nil || r.StatusCode != c.want {
+			t.Errorf("%s: %v %v", name, r, err)
+		}
+	}
+	set := func(tr partner.Trouble) {
+		w.with(func() {
+			w.ground.Model.Set(w.now(), door.endpoint, tr)
+			w.refit()
+			w.settle()
+		})
+	}
+	set(partner.Trouble{Mode: partner.Shut, Until: time.Hour})
+	if r, _, err := say(t, door.addr, "GET /ping HTTP/1.1\r\nHost: h\r\n\r\n"); err != nil || r.StatusCode != 503 && r.StatusCode != 429 {
+		t.Errorf("shut: %v %v", r, err)
+	}
+	idle, err := net.Dial("tcp", door.addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer idle.Close()
+	// Down: connections that stand break, new ones are refused, the port is kept.
+	addr := door.addr
+	set(partner.Trouble{Mode: partner.Down})
+	if _, err := idle.Read(make([]byte, 1)); err == nil {
+		t.Error("a connection outlives its endpoint")
+	}
+	for range 3 {
+		if _, _, err := say(t, addr, "GET /ping HTTP/1.1\r\nHost: h\r\n\r\n"); !errors.Is(err, syscall.ECONNREFUSED) {
+			t.Errorf("down: %v", err)
+		}
+	}
+	if l, err := net.Listen("tcp4", addr); err == nil {
+		l.Close()
+		t.Error("somebody else got its port")
+	}
+	set(partner.Trouble{})
+	served(t, addr, "GET /ping HTTP/1.1\r\nHost: h\r\n\r\n")
+}
+
+// A call is called off and takes effect all the same: it is a late effect of one
+// call, and no second one.
+func TestCalledOff(t *testing.T) {
+	w, p := aWorld(t, "")
+	d := p.Dests[0]
+	door := w.doors[0][d.Endpoints[0].ID]
+	w.with(func() { w.ground.Model.Set(w.now(), door.endpoint, partner.Trouble{Mode: partner.Silent}) })
+	handIn(w, "a", d.Dest)
+	c, err := net.Dial("tcp", door.addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	io.WriteString(c, receive("a"))
+	running := func() (n int) {
+		w.with(func() { n = len(w.answers) })
+		return n
+	}
+	wait(t, "the call", func() bool { return running() == 1 })
+	time.Sleep(25 * time.Millisecond) // longer than the way; where it is not, the call is cut short and no effect is seen
+	c.Close()
+	wait(t, "its end", func() bool { return running() == 0 })
+	wait(t, "its effect", func() bool {
+		n := 0
+		w.with(func() { s, _ := w.auditor.Counted(); n = s.Effects })
+		return n == 1
+	})
+}
+
+func wait(t *testing.T, what string, until func() bool) {
+	t.Helper()
+	for limit := time.Now().Add(20 * time.Second); !until(); time.Sleep(time.Millisecond) {
+		if time.Now().After(limit) {
+			t.Fatalf("%s: never", what)
+		}
+	}
+}
+
+// Discovery on sockets: the whole list, a watch that waits, a change that is told
+// late, an address taken over by a new id, and a time in which nobody answers.
+func TestPlatform(t *testing.T) {
+	w, p := aWorld(t, "discovery_out(at = 10000, seconds = 1)\n")
+	addresses, err := w.Platform()
+	if err != nil {
+		t.Fatal(err)
+	}
+	get := func(path string) (int, string) {
+		r, body, err := say(t, addresses[0], "GET /catalog/members"+path+" HTTP/1.1\r\nHost: h\r\n\r\n")
+		if err != nil {
+			t.Fatal(err)
+		}
+		return r.StatusCode, body
+	}
+	e := p.Dests[0].Endpoints[0]
+	if status, body := get(""); status != 200 || !strings.Contains(body, `"full":true`) || !strings.Contains(body, `"id":"`+e.ID+`","addr":"`+w.doors[0][e.ID].addr) {
+		t.Errorf("%d %s", status, body)
+	}
+	if status, body := get("?since=1&timeout_ms=20"); status != 200 || !strings.Contains(body, `"version":1,"full":false,"servers":[]`) {
+		t.Errorf("a watch without news: %d %s", status, body)
+	}
+	w.with(func() {
+		w.change(scenario.Change{Endpoint: e.ID, Dest: 1, Drains: true})
+		w.change(scenario.Change{Endpoint: e.ID, Dest: 1, Leaves: true})
+		w.change(scenario.Change{Endpoint: "new", Dest: 1, Joins: &partner.EndpointSpec{ID: "new"}, Address: e.ID})
+	})
+	at, seen := 1, ""
+	for range 3 { // one answer or more, as they are told
+		_, body := get("?since=" + strconv.Itoa(at) + "&timeout_ms=10000")
+		for v := 4; v > at; v-- {
+			if strings.Contains(body, `"version":`+strconv.Itoa(v)) {
+				at = v
+			}
+		}
+		if seen += body; at == 4 {
+			break
+		}
+	}
+	for _, want := range []string{`"state":"removed"`, `"id":"new","addr":"` + w.doors[0][e.ID].addr} {
+		if !strings.Contains(seen, want) {
+			t.Errorf("no %s in %s", want, seen)
+		}
+	}
+	served(t, w.doors[0][e.ID].addr, "GET /ping HTTP/1.1\r\nHost: h\r\n\r\n") // the new one at the old address
+	w.with(func() { w.plan.Blind = []scenario.Span{{From: 0, To: time.Hour}}; w.ring() })
+	if status, _ := get("?since=4&timeout_ms=10000"); status != 503 {
+		t.Errorf("down: %d", status)
+	}
+	body := `{"id":"x","status":"deferred","again_ms":500}` + "\n" + `{"id":"y","status":"undeliverable"}` + "\n"
+	r, _, err := say(t, addresses[0], "POST /status HTTP/1.1\r\nHost: h\r\nContent-Length: "+strconv.Itoa(len(body))+"\r\n\r\n"+body)
+	if err != nil || r.StatusCode != 204 {
+		t.Errorf("notices while it is down: %v %v", r, err)
+	}
+	if r, _, err := say(t, addresses[0], "POST /status HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n\r\n{"); err != nil || r.StatusCode != 400 {
+		t.Errorf("no notice: %v %v", r, err)
+	}
+}
+
+// A partner of the rig's that dies ends the run, and is named.
+func TestDeadPartner(t *testing.T) {
+	w, p := aWorld(t, "")
+	door := w.doors[1][p.Dests[0].Endpoints[0].ID]
+	door.listener.Close()
+	<-w.ctx.Done()
+	if err := context.Cause(w.ctx); err == nil || !strings.Contains(err.Error(), door.addr) {
+		t.Errorf("%v", err)
+	}
+}
+
+// The clients' latency counts from the time at which a message was wanted: one that
+// stalls does not hide the wait of those behind it.
+func TestOpenLoop(t *testing.T) {
+	w, _ := aWorld(t, "")
+	stall := make(chan struct{})
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	asked := make(chan struct{}, 1000)
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				in := bufio.NewReader(c)
+				for {
+					r, err := http.ReadRequest(in)
+					if err != nil {
+						return
+					}
+					io.Copy(io.Discard, r.Body)
+					asked <- struct{}{}
+					<-stall
+					io.WriteString(c, "HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n")
+				}
+			}()
+		}
+	}()
+	c := w.NewClients([]string{l.Addr().String()})
+	defer c.Close()
+	w.wg.Go(c.Run)
+	for range 5 { // others come though the first has no answer
+		<-asked
+	}
+	close(stall)
+	wait(t, "answers", func() bool { return c.Seen().Answers[202]+c.Seen().Answers[0] >= 5 })
+	if s := c.Seen(); s.Door.Max < 5 {
+		t.Errorf("the wait does not show: %+v", s)
+	}
+}
--- /dev/null
+++ b/internal/rig/run.go
@@ -0,0 +1,354 @@
+package rig
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+
+	"cleathold/internal/audit"
+	"cleathold/internal/lab"
+	"cleathold/internal/scenario"
+)
+
+const (
+	tailSpan     = 30 * time.Second // a run goes on for so long after the last arrival, at most
+	progressSpan = 5 * time.Second
+	lagMost      = 5.0 // ms at the 99th percentile; a run that was later is marked
+)
+
+// Setup is what a run on sockets needs.
+type Setup struct {
+	Plan     *scenario.Plan
+	Program  string // the senders'
+	Folder   string // their configurations, states and logs
+	Settings string // script of our own for them; may be empty
+	Log      *slog.Logger
+	Progress io.Writer
+	Sink     func(audit.Event) error
+	ReadyIn  time.Duration // a sender must be ready so long after its start; 0 = 30 s
+}
+
+// Result is what a run on sockets showed.
+type Result struct {
+	lab.Result
+	Rig     Lag      `json:"rig_lag"` // of the partners' answers, against the model
+	Clients Seen     `json:"clients"`
+	Crashes int      `json:"crashes"`
+	Marks   []string `json:"marks,omitempty"` // why the run is to be read with care
+}
+
+// A stage is a run under way.
+type stage struct {
+	Setup
+	world     *World
+	clients   *Clients
+	processes []*Process
+	mu        sync.Mutex
+	crashes   int
+	restarts  int
+	keepers   sync.WaitGroup
+}
+
+// errOver is the cause of an end that was meant.
+var errOver = errors.New("over")
+
+// Run plays a plan on sockets, to its end or until the context ends. No process is
+// left behind in any case.
+func Run(ctx context.Context, s Setup) (Result, error) {
+	w, err := NewWorld(ctx, s.Plan, s.Log, s.Sink)
+	if err != nil {
+		return Result{}, err
+	}
+	g := &stage{Setup: s, world: w}
+	err = g.begin()
+	if err == nil {
+		err = g.play()
+	}
+	orderly := err == nil && context.Cause(w.ctx) == nil
+	g.stop(orderly)
+	cause := context.Cause(w.ctx)
+	seen := Seen{}
+	if g.clients != nil {
+		seen = g.clients.Seen()
+		defer g.clients.Close()
+	}
+	r := Result{Result: w.Close(), Rig: lagOf(w.lag), Clients: seen, Crashes: g.crashes}
+	r.Restarts = g.restarts
+	if err == nil && !errors.Is(cause, errOver) {
+		err = cause
+	}
+	if errors.Is(err, context.Canceled) {
+		err = errors.New("broken off")
+	}
+	r.mark()
+	return r, err
+}
+
+// mark says why a result is to be read with care.
+func (r *Result) mark() {
+	add := func(on bool, format string, args ...any) {
+		if on {
+			r.Marks = append(r.Marks, fmt.Sprintf(format, args...))
+		}
+	}
+	add(r.Rig.P99 > lagMost, "the rig's partners were late themselves: %.1f ms at the 99th percentile, %.1f at most", r.Rig.P99, r.Rig.Max)
+	add(r.Clients.Lag.P99 > lagMost, "the rig's clients were late themselves: %.1f ms at the 99th percentile, %.1f at most", r.Clients.Lag.P99, r.Clients.Lag.Max)
+	add(r.Clients.LeftOut > 0, "%d hand-ins were left out: too many were under way", r.Clients.LeftOut)
+	add(r.Crashes > 0, "senders ended %d times without being told to", r.Crashes)
+}
+
+// begin opens the world and starts the senders.
+func (g *stage) begin() error {
+	if err := g.world.Doors(); err != nil {
+		return err
+	}
+	platform, err := g.world.Platform()
+	if err != nil {
+		return err
+	}
+	var addresses []string
+	for i := range g.Plan.Scenario.Senders {
+		x, err := NewProcess(g.Plan, i, g.Program, filepath.Join(g.Folder, fmt.Sprint("n", i)), platform[i], g.Settings)
+		if err != nil {
+			return err
+		}
+		g.processes = append(g.processes, x)
+		addresses = append(addresses, x.addr)
+	}
+	for _, x := range g.processes {
+		if err := x.Start(); err != nil {
+			return err
+		}
+	}
+	for _, x := range g.processes {
+		if err := x.Ready(g.world.ctx, g.readyBy()); err != nil {
+			return err
+		}
+	}
+	g.clients = g.world.NewClients(addresses)
+	return nil
+}
+
+// readyBy is when a sender that starts now must be ready.
+func (g *stage) readyBy() time.Time {
+	if g.ReadyIn > 0 {
+		return time.Now().Add(g.ReadyIn)
+	}
+	return time.Now().Add(readySpan)
+}
+
+// play plays the plan.
+func (g *stage) play() error {
+	w := g.world
+	w.Begin()
+	for i := range g.processes {
+		g.keepers.Go(func() { g.keep(i) })
+	}
+	handed := make(chan struct{})
+	w.wg.Go(func() { defer close(handed); g.clients.Run() })
+	tick := time.NewTicker(progressSpan)
+	defer tick.Stop()
+	end := time.NewTimer(g.Plan.Scenario.Length + tailSpan)
+	defer end.Stop()
+	look := time.NewTicker(200 * time.Millisecond)
+	defer look.Stop()
+	for {
+		select {
+		case <-w.ctx.Done():
+			return context.Cause(w.ctx)
+		case <-tick.C:
+			g.progress()
+		case <-end.C:
+			return nil
+		case <-look.C:
+			select {
+			case <-handed:
+				if w.now() > g.Plan.Scenario.Length+time.Second && w.Open() == 0 && g.clients.idle() {
+					return nil
+				}
+			default:
+			}
+		}
+	}
+}
+
+// idle tells whether no hand-in is under way or to come.
+func (c *Clients) idle() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.open == 0
+}
+
+func (g *stage) progress() {
+	if g.Progress == nil {
+		return
+	}
+	s := g.world.Score()
+	fmt.Fprintf(g.Progress, "%v of %v: %d messages, service so far %.3f, %d without an end\n",
+		g.world.nowOf().Truncate(100*time.Millisecond), g.Plan.Scenario.Length, s.Messages, s.Service, g.world.Open())
+}
+
+// keep does what the plan does to one sender, and starts it again after each end.
+func (g *stage) keep(num int) {
+	w, x := g.world, g.processes[num]
+	deeds := make(chan string)
+	w.wg.Go(func() {
+		defer close(deeds)
+		for _, d := range g.Plan.Deeds {
+			if d.Sender != num {
+				continue
+			}
+			if !w.at(d.At) {
+				return
+			}
+			select {
+			case deeds <- d.What:
+			case <-w.ctx.Done():
+				return
+			}
+		}
+	})
+	for w.ctx.Err() == nil {
+		told := false
+		select {
+		case <-w.ctx.Done():
+			return
+		case what, some := <-deeds:
+			if !some {
+				deeds = nil
+				continue
+			}
+			switch what {
+			case "hup":
+				x.Signal(syscall.SIGHUP)
+				continue
+			case "kill":
+				w.Note(audit.Event{What: audit.Died, Sender: num})
+				g.clients.SetDown(num, true)
+				x.Stop(false)
+			case "term":
+				w.Note(audit.Event{What: audit.Died, Sender: num})
+				g.clients.SetDown(num, true)
+				x.Stop(true)
+			}
+			told = true
+		case <-x.Ended():
+			w.Note(audit.Event{What: audit.Died, Sender: num})
+			g.clients.SetDown(num, true)
+		}
+		g.mu.Lock()
+		g.restarts++
+		if !told {
+			g.crashes++
+		}
+		g.mu.Unlock()
+		if !w.sleep(restartSpan) {
+			return
+		}
+		if err := x.Start(); err != nil {
+			w.end(err)
+			return
+		}
+		if err := x.Ready(w.ctx, g.readyBy()); err != nil {
+			if w.ctx.Err() == nil {
+				w.end(err)
+			}
+			return
+		}
+		w.Note(audit.Event{What: audit.Ready, Sender: num})
+		g.clients.SetDown(num, false)
+	}
+}
+
+// stop ends the run and all senders.
+func (g *stage) stop(orderly bool) {
+	if orderly {
+		g.world.end(errOver)
+	}
+	g.world.end(context.Canceled) // the first cause stands
+	g.keepers.Wait()              // nobody starts one any more
+	var wg sync.WaitGroup
+	for _, x := range g.processes {
+		wg.Go(func() { x.Stop(orderly) })
+	}
+	wg.Wait()
+}
+
+// Serve puts a plan's partners, discovery and notices behind loopback addresses,
+// writes a configuration for each sender, and stays until the context ends. The
+// plan's clock starts at once.
+func Serve(ctx context.Context, s Setup, out io.Writer) (Result, error) {
+	w, err := NewWorld(ctx, s.Plan, s.Log, s.Sink)
+	if err != nil {
+		return Result{}, err
+	}
+	err = w.Doors()
+	var platform []string
+	if err == nil {
+		platform, err = w.Platform()
+	}
+	for i := 0; err == nil && i < s.Plan.Scenario.Senders; i++ {
+		var x *Process
+		dir := filepath.Join(s.Folder, fmt.Sprint("n", i))
+		if x, err = NewProcess(s.Plan, i, s.Program, dir, platform[i], s.Settings); err == nil {
+			fmt.Fprintf(out, "sender %d: listens on %s, discovery %s, start it by: LB_CONFIG=%s cleathold serve\n", i, x.addr, platform[i], x.config())
+		}
+	}
+	if err == nil {
+		w.Begin()
+		<-w.ctx.Done()
+		if err = context.Cause(w.ctx); errors.Is(err, context.Canceled) {
+			err = nil
+		}
+	}
+	r := Result{Result: w.Close(), Rig: lagOf(w.lag)}
+	r.mark()
+	return r, err
+}
+
+// Load hands a plan's arrivals in to senders that run elsewhere, and judges nothing
+// but the clients' side.
+func Load(ctx context.Context, p *scenario.Plan, addresses []string, log *slog.Logger, progress io.Writer) (Seen, error) {
+	if len(addresses) == 0 {
+		return Seen{}, errors.New("load: no address to hand in to")
+	}
+	w, err := NewWorld(ctx, p, log, nil)
+	if err != nil {
+		return Seen{}, err
+	}
+	c := w.NewClients(addresses)
+	defer c.Close()
+	w.Begin()
+	done := make(chan struct{})
+	go func() { defer close(done); c.Run() }()
+	tick := time.NewTicker(progressSpan)
+	defer tick.Stop()
+	for running := true; running; {
+		select {
+		case <-done:
+			running = !c.idle() && w.sleep(50*time.Millisecond)
+		case <-tick.C:
+			if progress != nil {
+				fmt.Fprintf(progress, "%v of %v: %d asked\n", w.nowOf().Truncate(100*time.Millisecond), p.Scenario.Length, c.count())
+			}
+		}
+	}
+	cause := context.Cause(w.ctx)
+	w.Close()
+	if errors.Is(cause, context.Canceled) {
+		cause = errors.New("broken off")
+	}
+	return c.Seen(), cause
+}
+
+func (c *Clients) count() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.asked
+}
--- /dev/null
+++ b/internal/rig/world.go
@@ -0,0 +1,329 @@
+// Package rig plays scenarios on sockets: partners behind loopback addresses,
+// discovery and the platform's notices, clients that hand in by the plan's clock, and
+// senders as processes. How partners behave, what discovery tells and when, what
+// counts as service and what breaks a rule are those of packages partner, lab and
+// audit: the rig has no behaviour of its own but that of sockets and processes.
+package rig
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"cleathold/internal/audit"
+	"cleathold/internal/lab"
+	"cleathold/internal/partner"
+	"cleathold/internal/scenario"
+)
+
+// idleSpan is how long an endpoint keeps an idle connection.
+const idleSpan = 15 * time.Second
+
+// rememberSpan is how long an id is known after it was handed in.
+const rememberSpan = 3 * time.Minute
+
+// A World is all that is outside the senders. Everything in it is touched under its
+// lock; its clock stands at 0 until it begins.
+type World struct {
+	plan *scenario.Plan
+	log  *slog.Logger
+	ctx  context.Context
+	end  context.CancelCauseFunc
+	wg   sync.WaitGroup
+
+	mu      sync.Mutex
+	begun   time.Time // zero: not yet
+	last    time.Duration
+	ground  *lab.Ground
+	auditor *audit.Auditor
+	tally   *lab.Tally
+	sink    func(audit.Event) error
+	answers map[uint64]chan partner.Answer
+	calls   uint64
+	conns   int
+	handed  map[string]handed
+	sweepAt time.Duration
+	doors   []map[string]*door // by sender and address
+	bell    chan struct{}      // closed as the list changes or discovery goes down
+	wake    chan struct{}      // the pump looks anew
+	lag     *hdrhistogram.Histogram
+	heard   func(id string, deferred bool, again time.Duration) // of notices
+	served  func(ids []string)
+}
+
+// handed is what the partners' side must know of a hand-in.
+type handed struct {
+	class int
+	at    time.Duration
+}
+
+// Lag is how late the rig was itself, in milliseconds.
+type Lag struct {
+	Count int64   `json:"count"`
+	P50   float64 `json:"p50_ms"`
+	P99   float64 `json:"p99_ms"`
+	Max   float64 `json:"max_ms"`
+}
+
+// newLag measures from 1 µs to 60 s.
+func newLag() *hdrhistogram.Histogram { return hdrhistogram.New(1, 60_000_000, 3) }
+
+func record(h *hdrhistogram.Histogram, d time.Duration) {
+	h.RecordValue(min(max(d.Microseconds(), 1), 59_999_999)) // fails only out of range
+}
+
+func lagOf(h *hdrhistogram.Histogram) Lag {
+	ms := func(v int64) float64 { return float64(v) / 1000 }
+	return Lag{h.TotalCount(), ms(h.ValueAtQuantile(50)), ms(h.ValueAtQuantile(99)), ms(h.Max())}
+}
+
+// NewWorld makes the world of a plan. Events go to the sink too, if there is one.
+// What goes wrong in it ends its context, with the cause.
+func NewWorld(ctx context.Context, p *scenario.Plan, log *slog.Logger, sink func(audit.Event) error) (*World, error) {
+	w := &World{
+		plan: p, log: log, tally: lab.NewTally(p.Scenario), sink: sink, answers: map[uint64]chan partner.Answer{}, handed: map[string]handed{},
+		bell: make(chan struct{}), wake: make(chan struct{}, 1), lag: newLag(),
+		heard: func(string, bool, time.Duration) {}, served: func([]string) {},
+	}
+	w.ctx, w.end = context.WithCancelCause(ctx)
+	set, err := lab.Settings(p, 0, 0)
+	if err != nil {
+		return nil, err
+	}
+	w.auditor = audit.New(lab.Terms(p, set))
+	if w.ground, err = lab.NewGround(p, w.note); err != nil {
+		return nil, err
+	}
+	return w, nil
+}
+
+// now is the time on the plan's clock.
+func (w *World) now() time.Duration {
+	if w.begun.IsZero() {
+		return 0
+	}
+	return time.Since(w.begun)
+}
+
+// note gives an event to all that read them; under the lock.
+func (w *World) note(e audit.Event) {
+	w.last = max(w.last, w.now())
+	e.At = w.last
+	err := w.auditor.Read(e)
+	if err == nil {
+		err = w.tally.Read(e)
+	}
+	if err == nil && w.sink != nil {
+		err = w.sink(e)
+	}
+	if err != nil {
+		w.end(err)
+	}
+}
+
+// Note is note for those that do not hold the lock.
+func (w *World) Note(e audit.Event) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.note(e)
+}
+
+// Begin starts the clock, and what goes by it.
+func (w *World) Begin() {
+	w.mu.Lock()
+	w.begun = time.Now()
+	w.mu.Unlock()
+	w.wg.Go(w.pump)
+	w.wg.Go(w.script)
+}
+
+// at waits until a time on the plan's clock; false at the end of the world.
+func (w *World) at(when time.Duration) bool {
+	timer := time.NewTimer(time.Until(w.begun.Add(when)))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-w.ctx.Done():
+		return false
+	}
+}
+
+// sleep passes a span of time; false at the end of the world.
+func (w *World) sleep(d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-w.ctx.Done():
+		return false
+	}
+}
+
+// pump lets the model come up to the time, whenever something happens in it.
+func (w *World) pump() {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-w.ctx.Done():
+			return
+		case <-w.wake:
+		case <-timer.C:
+		}
+		w.mu.Lock()
+		w.ground.Model.Advance(w.now())
+		w.deliver()
+		next, some := w.ground.Model.Next()
+		w.mu.Unlock()
+		if some {
+			timer.Reset(time.Until(w.begun.Add(next)))
+		} else {
+			timer.Reset(time.Hour)
+		}
+	}
+}
+
+// settle hands on what came of a step, and has the pump look at what comes next;
+// under the lock.
+func (w *World) settle() {
+	w.deliver()
+	select {
+	case w.wake <- struct{}{}:
+	default:
+	}
+}
+
+// deliver hands the model's answers on, and measures how late they are; under the
+// lock.
+func (w *World) deliver() {
+	falls := w.ground.Falls()
+	for _, a := range w.ground.Settle() {
+		record(w.lag, w.now()-a.At)
+		if c := w.answers[a.Call]; c != nil {
+			c <- a // has room for one, and gets one
+			delete(w.answers, a.Call)
+		}
+	}
+	if w.ground.Falls() > falls {
+		w.refit()
+	}
+}
+
+// script does what the plan says to the endpoints, and to discovery.
+func (w *World) script() {
+	type act struct {
+		at time.Duration
+		do func()
+	}
+	var acts []act
+	for _, c := range w.plan.Changes {
+		acts = append(acts, act{c.At, func() { w.change(c) }})
+	}
+	for _, b := range w.plan.Blind {
+		acts = append(acts, act{b.From, w.ring}, act{b.To, w.ring})
+	}
+	for len(acts) > 0 {
+		next := 0
+		for i := range acts {
+			if acts[i].at < acts[next].at {
+				next = i
+			}
+		}
+		a := acts[next]
+		acts = append(acts[:next], acts[next+1:]...)
+		if !w.at(a.at) {
+			return
+		}
+		w.mu.Lock()
+		a.do()
+		w.mu.Unlock()
+	}
+}
+
+// ring tells all who wait for news to look again; under the lock.
+func (w *World) ring() {
+	close(w.bell)
+	w.bell = make(chan struct{})
+}
+
+// change is a step of the plan; under the lock.
+func (w *World) change(c scenario.Change) {
+	told, err := w.ground.Change(w.now(), c)
+	if err != nil {
+		w.end(err)
+		return
+	}
+	if c.Joins != nil {
+		w.moveIn(c)
+	}
+	w.refit()
+	w.settle()
+	if told == nil {
+		return
+	}
+	w.ring()
+	if c.Joins == nil {
+		w.wg.Go(func() {
+			if w.sleep(6 * time.Second) { // as lab's listSure
+				w.mu.Lock()
+				w.ground.Deemed(c)
+				w.mu.Unlock()
+			}
+		})
+	}
+}
+
+// hand enters a hand-in before its first byte leaves.
+func (w *World) hand(e audit.Event) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.handed[e.Message] = handed{e.Class, w.now()}
+	if now := w.now(); now >= w.sweepAt {
+		for id, h := range w.handed {
+			if now-h.at > rememberSpan {
+				delete(w.handed, id)
+			}
+		}
+		w.sweepAt = now + rememberSpan/4
+	}
+	w.note(e)
+}
+
+// Open is how many messages and calls are still without an end.
+func (w *World) Open() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.auditor.Owed()
+}
+
+// Score is the service so far.
+func (w *World) Score() lab.Score {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.tally.Score()
+}
+
+// Close ends the world, waits for all in it, and judges what was seen.
+func (w *World) Close() lab.Result {
+	w.end(context.Canceled)
+	w.mu.Lock()
+	for _, doors := range w.doors {
+		for _, d := range doors {
+			d.shut()
+		}
+	}
+	w.mu.Unlock()
+	w.wg.Wait()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	r := lab.Result{Scenario: w.plan.Scenario.Name, Seed: w.plan.Seed, Conns: w.conns, Falls: w.ground.Falls()}
+	r.Breaks = w.auditor.Close(w.last)
+	r.Counts, _ = w.auditor.Counted()
+	r.Score = w.tally.Score()
+	return r
+}
--- a/internal/scenario/load.go
+++ b/internal/scenario/load.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"maps"
+	"math"
 	"os"
 	"slices"
 	"time"
@@ -14,19 +15,19 @@
 	"cleathold/internal/settings"
 )
 
-// Load reads a script.
-func Load(path string) (*Scenario, error) {
+// Load reads a script. Figures go in the place of those that it names by param.
+func Load(path string, figures map[string]float64) (*Scenario, error) {
 	text, err := os.ReadFile(path)
 	if err != nil {
 		return nil, fmt.Errorf("scenario: %w", err)
 	}
-	return Parse(path, text)
+	return Parse(path, text, figures)
 }
 
 // Parse reads a script's text and checks it. Errors name file, line and column.
-func Parse(path string, text []byte) (*Scenario, error) {
+func Parse(path string, text []byte, figures map[string]float64) (*Scenario, error) {
 	s := &Scenario{
-		Path: path, Senders: 1, Slots: Range{1.8, 2.4}, Hold: Range{7, 11},
+		Path: path, Script: text, Figures: figures, Senders: 1, Slots: Range{1.8, 2.4}, Hold: Range{7, 11},
 		Traffic: Traffic{
 			Zipf: Range{0.8, 1.15}, Clump: Range{1, 3}, RetryIn: Range{0.3, 2}, AgainIn: Range{0.8, 2}, Body: Range{100, 400},
 			Patience: 400 * time.Millisecond,
@@ -39,7 +40,7 @@
 	for name, f := range map[string]func(*args) error{
 		"scenario": s.setScenario, "kind": s.addKind, "fleet": s.addFleet, "traffic": s.setTraffic, "message_class": s.addClass,
 		"tenant": s.addTenant, "trouble": s.addTrouble, "burst": s.addBurst, "hot": s.addHot, "sender": s.addDeed, "churn": s.addChurn,
-		"ramp": s.addRamp,
+		"ramp": s.addRamp, "discovery_out": s.addBlind,
 	} {
 		names[name] = starlark.NewBuiltin(name, func(_ *starlark.Thread, b *starlark.Builtin, given starlark.Tuple, named []starlark.Tuple) (starlark.Value, error) {
 			if len(given) > 0 {
@@ -55,9 +56,31 @@
 			return starlark.None, a.done()
 		})
 	}
+	left := maps.Clone(figures)
+	names["param"] = starlark.NewBuiltin("param", func(_ *starlark.Thread, b *starlark.Builtin, given starlark.Tuple, named []starlark.Tuple) (starlark.Value, error) {
+		var name string
+		var usual starlark.Value
+		if err := starlark.UnpackArgs(b.Name(), given, named, "name", &name, "usual", &usual); err != nil {
+			return nil, err
+		}
+		if _, isNumber := starlark.AsFloat(usual); !isNumber {
+			return nil, fmt.Errorf("param: usual: got %s, want a number", usual.Type())
+		}
+		v, told := figures[name]
+		delete(left, name)
+		if _, whole := usual.(starlark.Int); told && whole && v == math.Trunc(v) {
+			return starlark.MakeInt64(int64(v)), nil
+		} else if told {
+			return starlark.Float(v), nil
+		}
+		return usual, nil
+	})
 	if _, err := settings.Exec(path, text, names); err != nil {
 		return nil, err
 	}
+	if len(left) > 0 {
+		return nil, &settings.Error{File: path, Text: fmt.Sprintf("no param(%q) in it", slices.Min(slices.Collect(maps.Keys(left))))}
+	}
 	if err := s.check(); err != nil {
 		return nil, &settings.Error{File: path, Text: err.Error()}
 	}
@@ -67,7 +90,7 @@
 // modes are the words for what may ail a partner.
 var modes = map[string]partner.Mode{
 	"DOWN": partner.Down, "SHUT": partner.Shut, "SILENT": partner.Silent, "FAILING": partner.Failing, "SLOW": partner.Slow,
-	"PAUSED": partner.Paused, "BREAKING": partner.Breaking, "SPOILING": partner.Spoiling,
+	"PAUSED": partner.Paused, "BREAKING": partner.Breaking, "SPOILING": partner.Spoiling, "CUT": partner.Cut,
 }
 
 // args are the arguments of a call, taken by name.
@@ -330,12 +353,25 @@
 		return fmt.Errorf("what: %q is no trouble", what)
 	case t.Share.To > 1 || t.Part.To > 1 || t.Length.From <= 0 || t.Factor.From <= 0:
 		return errors.Join(a.err, errors.New("share and part: 0 to 1; seconds and factor: above 0"))
+	case mode == partner.Cut && t.Factor.To >= 1:
+		return errors.Join(a.err, errors.New("factor: a cut limit is less than 1 times the usual"))
 	}
 	t.Mode = mode
 	s.Troubles = append(s.Troubles, t)
 	return a.err
 }
 
+func (s *Scenario) addBlind(a *args) error {
+	var b Blind
+	a.between("at", &b.At)
+	a.between("seconds", &b.Length)
+	if b.Length.From <= 0 {
+		return errors.Join(a.err, errors.New("seconds above 0 are needed"))
+	}
+	s.Blind = append(s.Blind, b)
+	return a.err
+}
+
 func (s *Scenario) addBurst(a *args) error {
 	var b Burst
 	a.between("at", &b.At)
--- a/internal/scenario/plan.go
+++ b/internal/scenario/plan.go
@@ -21,6 +21,7 @@
 	Dests    []Destination
 	Changes  []Change
 	Deeds    []PlannedDeed
+	Blind    []Span // discovery answers nobody
 	bursts   []window
 	hots     []window
 	clumps   float64
@@ -54,6 +55,9 @@
 	What   string
 }
 
+// Span is a time between two instants.
+type Span struct{ From, To time.Duration }
+
 // A window is a burst or a hot time.
 type window struct {
 	from, to time.Duration
@@ -69,6 +73,7 @@
 	drawWindows
 	drawDeeds
 	drawChurn
+	drawBlind
 )
 
 func stream(seed, part uint64) *rand.Rand { return rand.New(rand.NewPCG(seed, part)) }
@@ -94,6 +99,11 @@
 	}
 	slices.SortStableFunc(p.Deeds, func(a, b PlannedDeed) int { return cmp.Compare(a.At, b.At) })
 	p.drawChurns(stream(seed, drawChurn))
+	rng = stream(seed, drawBlind)
+	for _, b := range s.Blind {
+		from := b.At.seconds(rng)
+		p.Blind = append(p.Blind, Span{from, from + b.Length.seconds(rng)})
+	}
 	slices.SortStableFunc(p.Changes, func(a, b Change) int { return cmp.Compare(a.At, b.At) })
 	return p
 }
@@ -248,6 +258,71 @@
 	}
 }
 
+// A Mark is something that happens, on the time axis.
+type Mark struct {
+	From, To time.Duration // To = From for what takes no time
+	Text     string
+}
+
+// Marks are what happens in a plan, in the order of their times.
+func (p *Plan) Marks() []Mark {
+	var list []Mark
+	words := map[partner.Mode]string{}
+	for word, mode := range modes {
+		words[mode] = word
+	}
+	for i, t := range p.Scenario.Troubles {
+		m := Mark{From: -1}
+		dests, share := map[int]bool{}, 0.0
+		for _, c := range p.Changes {
+			if c.Of != i || c.Joins != nil || c.Drains || c.Leaves {
+				continue
+			}
+			if c.Trouble.Mode == partner.Well {
+				m.To = c.At
+				continue
+			}
+			m.From = c.At
+			for _, d := range p.Dests {
+				for _, e := range d.Endpoints {
+					if e.ID == c.Endpoint {
+						dests[d.Dest] = true
+						share += d.Share / float64(len(d.Endpoints))
+					}
+				}
+			}
+		}
+		if m.From < 0 {
+			continue
+		}
+		where := ""
+		if t.Zone != "" {
+			where = " in " + t.Zone
+		}
+		m.Text = fmt.Sprintf("%s%s: %d destinations, %.0f%% of the traffic", words[t.Mode], where, len(dests), 100*share)
+		list = append(list, m)
+	}
+	for _, c := range p.Changes {
+		if c.Of < 0 && c.Leaves {
+			list = append(list, Mark{c.At, c.At, fmt.Sprintf("%s of destination %d is gone", c.Endpoint, c.Dest)})
+		}
+	}
+	for _, b := range p.bursts {
+		list = append(list, Mark{b.from, b.to, fmt.Sprintf("burst: %.1f times the traffic", b.size)})
+	}
+	for _, h := range p.hots {
+		list = append(list, Mark{h.from, h.to, fmt.Sprintf("%d large destinations draw %.0f%% more", h.keys, 100*h.size)})
+	}
+	for _, b := range p.Blind {
+		list = append(list, Mark{b.From, b.To, "discovery is down"})
+	}
+	for _, d := range p.Deeds {
+		list = append(list, Mark{d.At, d.At, fmt.Sprintf("sender %d: %s", d.Sender, d.What)})
+	}
+	slices.SortStableFunc(list, func(a, b Mark) int { return cmp.Compare(a.From, b.From) })
+	return list
+}
+
 // Load is the rate of messages at a time, as a multiple of the full load.
 func (p *Plan) Load(at time.Duration) float64 {
 	x := 1.0
@@ -307,6 +382,7 @@
 	large   []int // destinations, those with most traffic first
 	single  time.Duration
 	clump   time.Duration
+	clumps  float64 // a second
 	ahead   timeline.Queue[clump]
 	n       int
 }
@@ -339,7 +415,8 @@
 		a.tenants = append(a.tenants, sum)
 	}
 	a.single = a.after(0, p.Rate*(1-p.clumps))
-	a.clump = a.after(0, a.clumpRate())
+	a.clumps = a.clumpRate()
+	a.clump = a.after(0, a.clumps)
 	return a
 }
 
@@ -411,7 +488,7 @@
 			a.single = a.after(at, a.p.Rate*(1-a.p.clumps))
 			dest = a.dest(at)
 		case 1: // a clump begins: its messages come one close after the other
-			a.clump = a.after(at, a.clumpRate())
+			a.clump = a.after(at, a.clumps)
 			d := a.choose(a.byShare)
 			size := max(1, int(math.Round(a.p.clump.draw(a.rng)*a.takes(&a.p.Dests[d]))))
 			a.ahead.Push(at, uint64(a.n), clump{d, size, uint64(a.n)})
--- a/internal/scenario/scenario.go
+++ b/internal/scenario/scenario.go
@@ -16,6 +16,8 @@
 // Scenario is what a script says.
 type Scenario struct {
 	Path     string
+	Script   []byte
+	Figures  map[string]float64 // that the script was given
 	Name     string
 	Length   time.Duration
 	Senders  int
@@ -28,6 +30,7 @@
 	Hot      []Hot
 	Deeds    []Deed
 	Churns   []Churn
+	Blind    []Blind
 	Slots    Range // a sender's slots, as a multiple of what its part of the load keeps busy
 	Hold     Range // seconds of its load that a sender may hold
 }
@@ -139,3 +142,8 @@
 	Drain time.Duration
 	Reuse bool // the new one has the address of the old one
 }
+
+// Blind is a time in which discovery answers nobody.
+type Blind struct {
+	At, Length Range
+}
--- a/internal/state/loop.go
+++ b/internal/state/loop.go
@@ -58,8 +58,9 @@
 	backlog  []any         // events of the loop's own making, for the next round
 	out      map[*Call]int // forwards without an end
 	flying   int           // calls with the carrier
-	stopped  bool          // no new messages
-	halted   bool          // no new forwards
+	begun    bool
+	stopped  bool // no new messages
+	halted   bool // no new forwards
 	finished chan struct{}
 }
 
@@ -123,7 +124,7 @@
 // Idle tells whether nothing is owed any more, or nothing is out of a halted loop.
 func (l *Loop) Idle() bool {
 	answer := make(chan bool, 1)
-	l.Post(inspect(func() { answer <- l.table.idle() || l.halted && len(l.out) == 0 }))
+	l.Post(inspect(func() { answer <- l.Quiet() }))
 	select {
 	case idle := <-answer:
 		return idle
@@ -132,6 +133,9 @@
 	}
 }
 
+// Quiet is Idle for one who calls Step.
+func (l *Loop) Quiet() bool { return l.table.idle() || l.halted && len(l.out) == 0 }
+
 // Run runs rounds until the context ends. In a round all events that are in
 // are handed on, the controller decides once, and what it did is settled.
 func (l *Loop) Run(ctx context.Context) {
@@ -156,6 +160,7 @@
 
 // begin takes up what the journal told is owed.
 func (l *Loop) begin() {
+	l.begun = true
 	l.now = l.clock()
 	l.beginKeeper()
 	for _, e := range l.table.ordered() {
@@ -176,6 +181,9 @@
 // Step runs rounds until these events and what they bring about are dealt with. It
 // takes the place of Run, for one who has the time in hand; a nil event is the timer.
 func (l *Loop) Step(events ...any) {
+	if !l.begun {
+		l.begin()
+	}
 	for _, e := range events {
 		if e == nil {
 			l.wakeAt = time.Time{}
