Keep a told outage though calls from before it are still served in its wait

Change: such an answer proves nothing of the end of the wait. The first files of a store: a segmented log with compaction in bounded steps, killed at any byte in its tests.

--- a/cmd/cleathold/lab.go
+++ b/cmd/cleathold/lab.go
@@ -322,7 +322,8 @@
 type labLoadCmd struct {
 	script
 	Seed uint64   `help:"Seed." default:"1"`
-	To   []string `help:"Addresses of the senders." required:"" placeholder:"ADDR"`
+	To   []string `help:"Addresses of the senders." placeholder:"ADDR"`
+	Sink bool     `help:"Hand in to a sink of its own instead, to measure this tool."`
 	JSON bool     `help:"JSON instead of text." name:"json"`
 }
 
@@ -333,6 +334,16 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
+	switch {
+	case c.Sink == (len(c.To) > 0):
+		return errors.New("name the senders by --to, or --sink")
+	case c.Sink:
+		addr, err := rig.Sink(ctx)
+		if err != nil {
+			return err
+		}
+		c.To = []string{addr}
+	}
 	seen, err := rig.Load(ctx, s.Plan(c.Seed), c.To, log, os.Stderr)
 	if err != nil {
 		return exit{err, exitOff}
--- a/control/control.go
+++ b/control/control.go
@@ -402,6 +402,10 @@
 // health moves the state of a route on an answer to a call sent at that time.
 func (c *Controller) health(e *endpoint, sent time.Duration, r Result, wait time.Duration) {
 	rt := e.route
+	// Calls from before a long told wait may still be served in it. That proves nothing of its end.
+	if r == Served && rt.open && c.now < rt.wait && rt.wait-rt.badAt >= c.set.FallWindow {
+		return
+	}
 	if r == Served {
 		e.dest.shy = false
 		rt.goodAt = c.now
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -455,6 +455,31 @@
 	}
 }
 
+// A call from before a long told wait that is served in it does not undo the outage:
+// `cleathold lab sim` found returning partners pushed over after such an answer.
+func TestStragglerDoesNotEndOutage(t *testing.T) {
+	r := newRecorder(t, settings())
+	r.ready(0, 2)
+	r.arrive(1, 0, 0)
+	r.arrive(2, 0, 0)
+	r.pass(50 * ms)
+	if r.out(0) != 2 {
+		t.Fatalf("%d calls out", r.out(0))
+	}
+	r.answer(1, Full, 2*r.set.FallWindow)
+	r.pass(20 * ms)
+	r.answer(2, Served, 0)
+	for id := MessageID(3); id < 13; id++ {
+		r.arrive(id, 0, 0)
+	}
+	r.pass(2*r.set.FallWindow - 50*ms)
+	before := len(r.trace)
+	r.pass(r.set.FallWindow)
+	if tests := strings.Count(strings.Join(r.trace[before:], "\n"), "send "); tests > 2 {
+		t.Fatalf("%d sends within a fall window of the end of a long wait", tests)
+	}
+}
+
 // Calls of a silent destination are called off when another's message wants the slot.
 func TestOverdueCallsAreCalledOff(t *testing.T) {
 	for _, wanted := range []bool{false, true} {
--- a/internal/audit/auditor.go
+++ b/internal/audit/auditor.go
@@ -192,13 +192,13 @@
 			s.diedAt = e.At
 		}
 		s.down, s.restarts = true, true
-		clear(s.waits) // a restart ends the wait
+	case Ready: // a restart ends the wait, and what the old process saw is not told to the new one
+		s := a.sender(e.Sender)
+		s.down, s.readyAt = false, e.At
+		clear(s.waits)
 		for _, r := range a.routes {
 			delete(r.saw, e.Sender)
 		}
-	case Ready:
-		s := a.sender(e.Sender)
-		s.down, s.readyAt = false, e.At
 	default:
 		return fmt.Errorf("audit: an event of kind %d", e.What)
 	}
--- a/internal/audit/auditor_test.go
+++ b/internal/audit/auditor_test.go
@@ -45,6 +45,12 @@
 	return Event{At: at, What: Ended, Call: n, Outcome: o}
 }
 
+func took(at time.Duration, call uint64, id string, class int) Event {
+	return Event{At: at, What: Took, Call: call, Message: id, Class: class}
+}
+
+func first(e Event, at time.Duration) Event { e.First = at; return e }
+
 // Each rule broken by one step is found, and its twin just inside is not.
 func TestMutants(t *testing.T) {
 	const lost, repeated, drained, pushed, waited, wrong = string(Lost), string(Repeated), string(Drained), string(Pushed), string(Waited), string(WrongWay)
@@ -127,6 +133,13 @@
 		{"less", fall([]int{0}, map[int]int{0: 19, 1: 10}), ""},
 		{"nobody saw it", fall(nil, map[int]int{0: 20}), ""},
 
+		{"an effect after its call was called off, and after the end", []Event{in(0, "m", 2, 7), taken(ms, "m"), sent(2*ms, 1, "a", 7, "m"), ended(3*ms, 1, Failed), notice(4*ms, "m", false), took(30*time.Second, 1, "m", 2)}, ""},
+		{"two effects", []Event{in(0, "m", 2, 7), taken(ms, "m"), sent(2*ms, 1, "a", 7, "m"), ended(3*ms, 1, Failed), notice(4*ms, "m", false), took(5*ms, 1, "m", 2), took(30*time.Second, 1, "m", 2)}, repeated},
+		{"two effects that are allowed", []Event{in(0, "m", 0, 7), taken(ms, "m"), sent(2*ms, 1, "a", 7, "m"), ended(3*ms, 1, Delivered), took(3*ms, 1, "m", 0), took(4*ms, 1, "m", 0)}, ""},
+		{"a first byte in time", []Event{in(0, "m", 0, 7), taken(ms, "m"), told(10*ms, "a", true), first(sent(2100*ms, 1, "a", 7, "m"), 2060*ms), ended(2200*ms, 1, Delivered)}, ""},
+		{"a first byte too late", []Event{in(0, "m", 0, 7), taken(ms, "m"), told(10*ms, "a", true), first(sent(2100*ms, 1, "a", 7, "m"), 2061*ms), ended(2200*ms, 1, Delivered)}, drained},
+		{"a hand-in without an answer", []Event{in(0, "m", 2, 7), {At: ms, What: Gone, Message: "m"}}, ""},
+
 		{"right cell", []Event{in(0, "m", 0, 7), taken(ms, "m"), sent(2*ms, 1, "a", 7, "m"), ended(3*ms, 1, Delivered)}, ""},
 		{"wrong cell", []Event{in(0, "m", 0, 7), taken(ms, "m"), sent(2*ms, 1, "a", 8, "m"), ended(3*ms, 1, Delivered)}, wrong},
 		{"nobody's message", []Event{sent(2*ms, 1, "a", 8, "m"), ended(3*ms, 1, Delivered)}, wrong},
--- a/internal/partner/model.go
+++ b/internal/partner/model.go
@@ -277,6 +277,9 @@
 		return fmt.Errorf("partner: call %d is out already", c.ID)
 	}
 	answer := func(k Kind, wait time.Duration) {
+		if c.Probe {
+			wait = 0 // PROTOCOL: a probe is answered 200 or 503
+		}
 		m.answers = append(m.answers, Answer{c.ID, m.now, k, wait})
 	}
 	t := e.trouble
--- a/internal/rig/platform.go
+++ b/internal/rig/platform.go
@@ -67,6 +67,7 @@
 		w.mu.Lock()
 		now := w.now()
 		if _, blind := w.ground.Blind(now); blind {
+			w.ground.Asked(now, sender, false, true)
 			w.mu.Unlock()
 			http.Error(out, "discovery is down", http.StatusServiceUnavailable)
 			return
@@ -80,11 +81,13 @@
 		}
 		if whole || len(lines) > 0 || !time.Now().Before(until) {
 			text := w.list(sender, lines, version, whole)
+			w.ground.Asked(now, sender, false, false)
 			w.mu.Unlock()
 			out.Header().Set("Content-Type", "application/json")
 			out.Write(text)
 			return
 		}
+		w.ground.Asked(now, sender, true, false)
 		next, some := w.ground.Next(sender, since)
 		bell := w.bell
 		w.mu.Unlock()
--- /dev/null
+++ b/internal/store/recover.go
@@ -0,0 +1,304 @@
+package store
+
+import (
+	"bytes"
+	"cmp"
+	"errors"
+	"fmt"
+	"io"
+	"math"
+	"runtime"
+	"slices"
+	"strings"
+	"sync"
+)
+
+// Damage is a part of a segment that could not be read. The records of it are lost;
+// all else was read.
+type Damage struct {
+	File   string `json:"file"`
+	Offset int64  `json:"offset"`
+	Length int64  `json:"length"`
+	// Tail: the log ends with it. A process that died in the middle of an append leaves
+	// such a part, and had not promised it.
+	Tail bool `json:"tail,omitempty"`
+}
+
+// found is what one segment holds.
+type found struct {
+	segment *segment
+	records []located
+	damages []Damage
+	highest uint64 // LSN
+	err     error
+}
+
+// located is a record without its data.
+type located struct {
+	Record
+	at ref
+}
+
+// Open reads a folder and makes a store of it. Damage is told by Damages and in the
+// log, and keeps nothing else from being read. A newer format is refused, and the
+// folder is left as it is.
+func Open(o Options) (*Store, error) {
+	if o.Segment <= 0 {
+		o.Segment = segmentMost
+		if o.Budget > 0 {
+			o.Segment = min(max(o.Budget/16, segmentMin), segmentMost)
+		}
+	}
+	if o.Budget > 0 && o.Budget < (reserve+2)*o.Segment {
+		return nil, fmt.Errorf("store: a budget of %d bytes is too little for segments of %d", o.Budget, o.Segment)
+	}
+	if o.Durability == Group && o.GroupWait <= 0 {
+		return nil, errors.New("store: group durability needs a wait")
+	}
+	lock, err := o.FS.Lock()
+	if err != nil {
+		return nil, err
+	}
+	s := &Store{
+		opt: o, lock: lock, entities: map[uint64]*entity{}, lsn: 1, number: 1, scan: headLen, disk: unit, // the lock file
+		byKey:  newIndex(func(a, b indexed) int { return cmp.Compare(a.key, b.key) }),
+		byTime: newIndex(func(a, b indexed) int { return cmp.Compare(a.time, b.time) }),
+		byDest: newIndex(func(a, b indexed) int { return cmp.Compare(a.dest, b.dest) }),
+	}
+	if err := s.recover(); err != nil {
+		for _, g := range s.segments {
+			g.file.Close()
+		}
+		lock.Close()
+		return nil, err
+	}
+	return s, nil
+}
+
+// recover reads all segments, several at once, and rebuilds the index.
+func (s *Store) recover() error {
+	names, err := s.opt.FS.List()
+	if err != nil {
+		return fmt.Errorf("store: %w", err)
+	}
+	slices.Sort(names) // their numbers have the same length
+	names = slices.DeleteFunc(names, func(n string) bool { return !strings.HasSuffix(n, ".log") })
+	list := make([]found, len(names))
+	var wg sync.WaitGroup
+	slots := make(chan struct{}, max(1, min(runtime.GOMAXPROCS(0), 4)))
+	for i, name := range names {
+		slots <- struct{}{}
+		wg.Go(func() {
+			list[i] = s.readSegment(name)
+			<-slots
+		})
+	}
+	wg.Wait()
+	for i := range list {
+		if g := list[i].segment; g != nil && g.file != nil {
+			s.segments = append(s.segments, g)
+		}
+	}
+	for i := range list {
+		if list[i].err != nil {
+			return list[i].err
+		}
+	}
+	seals := s.tails(list)
+	s.rebuild(list)
+	if n := len(list); n > 0 && len(list[n-1].damages) == 0 && len(seals) == 0 {
+		return nil
+	}
+	// Nothing is appended behind a damage. What was cut short is left as it is, and told
+	// to whoever reads it next.
+	if err := s.roll(); err != nil || len(seals) == 0 {
+		return err
+	}
+	for i := range seals {
+		seals[i].LSN = s.lsn
+		s.lsn++
+	}
+	_, err = s.write(frame(nil, seals))
+	return err
+}
+
+// tails sorts out what was cut short, at the end of the log or where a seal tells of
+// it, and returns seals for what has none yet.
+func (s *Store) tails(list []found) (seals []Record) {
+	sealed := map[uint64]int64{}
+	last := 0 // the last segment that holds something
+	for i := range list {
+		for _, r := range list[i].records {
+			if r.Kind == seal {
+				sealed[r.Entity] = r.Time
+			}
+		}
+		if len(list[i].records) > 0 {
+			last = i
+		}
+	}
+	for i := range list {
+		f := &list[i]
+		from, known := sealed[f.segment.number]
+		f.damages = slices.DeleteFunc(f.damages, func(d Damage) bool { return known && d.Offset >= from })
+		for j := range f.damages {
+			d := &f.damages[j]
+			if d.Tail = i >= last && d.Offset+d.Length >= f.segment.size; d.Tail {
+				seals = append(seals, Record{Entity: f.segment.number, Kind: seal, Time: d.Offset})
+			}
+		}
+	}
+	return seals
+}
+
+// readSegment reads one file. Only what the disk says, or a newer format, is an error.
+func (s *Store) readSegment(name string) found {
+	f := found{segment: &segment{name: name}}
+	size, err := s.opt.FS.Size(name)
+	if err == nil {
+		f.segment.file, err = s.opt.FS.Open(name)
+	}
+	if err != nil {
+		f.err = fmt.Errorf("store: %w", err)
+		return f
+	}
+	g := f.segment
+	g.size = size
+	if _, err := fmt.Sscanf(name, "%016x.log", &g.number); err != nil {
+		f.err = fmt.Errorf("store: %s is no name of a segment: move it elsewhere", name)
+		return f
+	}
+	b := make([]byte, size)
+	if n, err := g.file.ReadAt(b, 0); err != nil && !(errors.Is(err, io.EOF) && int64(n) == size) {
+		f.err = fmt.Errorf("store: %s: %w", name, err)
+		return f
+	}
+	at := int64(headLen)
+	if _, err := readHead(b); errors.Is(err, ErrNewer) {
+		f.err = fmt.Errorf("%s: %w", name, err)
+		return f
+	} else if err != nil {
+		at = 0
+	}
+	for at < size {
+		batch, n, err := readFrame(b[at:])
+		if err != nil {
+			next := resync(b, at+1)
+			f.damages = append(f.damages, Damage{File: name, Offset: at, Length: next - at})
+			at = next
+			continue
+		}
+		for _, r := range batch {
+			f.highest = max(f.highest, r.LSN)
+			x := located{r, ref{g.number, at, r.LSN, int32(r.size())}}
+			x.Data = nil // it is read again when it is asked for
+			f.records = append(f.records, x)
+		}
+		at += int64(n)
+	}
+	if size == 0 { // killed between its making and its head
+		f.damages = append(f.damages, Damage{File: name, Offset: 0, Length: size})
+	}
+	return f
+}
+
+// resync finds the next whole frame from an offset on, or the end.
+func resync(b []byte, from int64) int64 {
+	for {
+		i := bytes.Index(b[min(from, int64(len(b))):], mark)
+		if i < 0 {
+			return int64(len(b))
+		}
+		if _, _, err := readFrame(b[from+int64(i):]); err == nil {
+			return from + int64(i)
+		}
+		from += int64(i) + 1
+	}
+}
+
+// rebuild makes the index of what was read.
+func (s *Store) rebuild(list []found) {
+	ended := map[uint64]bool{}
+	total := 0
+	for i := range list {
+		total += len(list[i].records)
+		s.lsn = max(s.lsn, list[i].highest+1)
+		if list[i].segment.file != nil {
+			s.number = max(s.number, list[i].segment.number+1)
+			s.disk += whole(list[i].segment.size)
+		}
+		for _, r := range list[i].records {
+			if r.Kind == End {
+				ended[r.Entity] = true
+			}
+		}
+	}
+	all := make([]located, 0, total)
+	for i := range list {
+		for _, r := range list[i].records {
+			if r.Kind == Put && !ended[r.Entity] {
+				all = append(all, r)
+			}
+		}
+	}
+	// A record that was copied forward lies twice where the process died before the old
+	// segment was removed: the copy counts.
+	slices.SortStableFunc(all, func(a, b located) int {
+		return cmp.Or(cmp.Compare(a.LSN, b.LSN), cmp.Compare(b.at.segment, a.at.segment), cmp.Compare(b.at.offset, a.at.offset))
+	})
+	doubt := s.doubt(list)
+	for i, r := range all {
+		if i > 0 && all[i-1].LSN == r.LSN {
+			continue
+		}
+		g := s.segment(r.at.segment)
+		s.enter(&r.Record, g, r.at.offset)
+		e := s.entities[r.Entity]
+		e.refs[len(e.refs)-1].size = r.at.size
+		if size := r.Record.size(); size != int64(r.at.size) { // the data is not here: enter knew less
+			g.live += int64(r.at.size) - size
+			s.live += int64(r.at.size) - size
+		}
+		if len(e.refs) == 1 {
+			e.doubt = r.LSN < doubt
+		}
+	}
+}
+
+// doubt is the LSN before which entities began of which a damage may hide a record.
+// It is the highest of the segment that is damaged, or all where its end is.
+func (s *Store) doubt(list []found) uint64 {
+	limit := uint64(0)
+	for i := range list {
+		for _, d := range list[i].damages {
+			s.damages = append(s.damages, d)
+			if d.Tail {
+				s.tell("the log ends in the middle of an append, which was not promised", "file", d.File, "offset", d.Offset, "bytes", d.Length)
+				continue
+			}
+			s.tell("a part can't be read: what is live may lack a record", "file", d.File, "offset", d.Offset, "bytes", d.Length)
+			if d.Offset+d.Length >= list[i].segment.size {
+				limit = math.MaxUint64
+			}
+			limit = max(limit, list[i].highest)
+		}
+	}
+	return limit
+}
+
+// Entities gives all live entities to a function in the order of their ids, which
+// ends it by false. It works on a copy: the store may be used meanwhile.
+func (s *Store) Entities(do func(Entity) bool) {
+	s.mu.Lock()
+	list := make([]Entity, 0, len(s.entities))
+	for _, e := range s.entities {
+		list = append(list, e.public())
+	}
+	s.mu.Unlock()
+	slices.SortFunc(list, func(a, b Entity) int { return cmp.Compare(a.ID, b.ID) })
+	for _, e := range list {
+		if !do(e) {
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/store/store_test.go
@@ -0,0 +1,661 @@
+package store
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"os"
+	"os/exec"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+)
+
+func TestMain(m *testing.M) {
+	if dir := os.Getenv("STORE_HOLD"); dir != "" { // the other process of TestLocked
+		if _, err := (Dir(dir)).Lock(); err == nil {
+			fmt.Println("held")
+		}
+		io.Copy(io.Discard, os.Stdin)
+		return
+	}
+	goleak.VerifyTestMain(m)
+}
+
+// memory is a file system that can die at any byte, run full, and forget what was not
+// synced. It counts what all files take, at every step.
+type memory struct {
+	mu     sync.Mutex
+	files  map[string]*memFile
+	left   int   // bytes and steps until it dies; below 0 = it lives
+	full   int64 // bytes that all files may have; 0 = any
+	most   int64 // that they had
+	faulty error // what a sync returns
+	short  bool  // the next write is cut short, with an error
+	syncs  int
+}
+
+type memFile struct {
+	fs     *memory
+	data   []byte
+	synced []byte
+	named  bool // its name would outlast a power cut
+}
+
+var (
+	errDead   = errors.New("the process is dead")
+	errNoRoom = errors.New("no space left on device")
+	errIO     = errors.New("input/output error")
+)
+
+func newMemory() *memory { return &memory{files: map[string]*memFile{}, left: -1} }
+
+// take counts down to death and returns how many of so many bytes still get through.
+func (m *memory) take(n int) (int, error) {
+	if m.left < 0 {
+		return n, nil
+	}
+	if m.left < n {
+		n, m.left = m.left, 0
+		return n, errDead
+	}
+	m.left -= n
+	return n, nil
+}
+
+func (m *memory) used() int64 {
+	sum := int64(unit)
+	for _, f := range m.files {
+		sum += whole(int64(len(f.data)))
+	}
+	return sum
+}
+
+func (m *memory) Create(name string) (File, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if _, err := m.take(1); err != nil {
+		return nil, err
+	}
+	if m.files[name] != nil {
+		return nil, os.ErrExist
+	}
+	m.files[name] = &memFile{fs: m}
+	return m.files[name], nil
+}
+
+func (m *memory) Open(name string) (File, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if f := m.files[name]; f != nil {
+		return f, nil
+	}
+	return nil, os.ErrNotExist
+}
+
+func (m *memory) Remove(name string) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if _, err := m.take(1); err != nil {
+		return err
+	}
+	delete(m.files, name)
+	return nil
+}
+
+func (m *memory) Rename(from, to string) error {
+	m.files[to] = m.files[from]
+	delete(m.files, from)
+	return nil
+}
+
+func (m *memory) List() (names []string, err error) {
+	for name := range m.files {
+		names = append(names, name)
+	}
+	return names, nil
+}
+
+func (m *memory) Size(name string) (int64, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return int64(len(m.files[name].data)), nil
+}
+
+func (m *memory) SyncDir() error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, f := range m.files {
+		f.named = true
+	}
+	return nil
+}
+
+type nothing struct{}
+
+func (nothing) Close() error { return nil }
+
+func (m *memory) Lock() (io.Closer, error) { return nothing{}, nil }
+
+func (f *memFile) ReadAt(p []byte, at int64) (int, error) {
+	f.fs.mu.Lock()
+	defer f.fs.mu.Unlock()
+	if at >= int64(len(f.data)) {
+		return 0, io.EOF
+	}
+	n := copy(p, f.data[at:])
+	if n < len(p) {
+		return n, io.EOF
+	}
+	return n, nil
+}
+
+func (f *memFile) WriteAt(p []byte, at int64) (int, error) {
+	f.fs.mu.Lock()
+	defer f.fs.mu.Unlock()
+	n, err := f.fs.take(len(p))
+	if f.fs.short && err == nil {
+		f.fs.short = false
+		n, err = n/2, errIO
+	}
+	grown := at + int64(n) - int64(len(f.data))
+	if f.fs.full > 0 && grown > 0 && f.fs.used()+grown > f.fs.full {
+		return 0, errNoRoom
+	}
+	if grown > 0 {
+		f.data = append(f.data, make([]byte, grown)...)
+	}
+	copy(f.data[at:], p[:n])
+	f.fs.most = max(f.fs.most, f.fs.used())
+	return n, err
+}
+
+func (f *memFile) Truncate(size int64) error {
+	f.fs.mu.Lock()
+	defer f.fs.mu.Unlock()
+	if _, err := f.fs.take(1); err != nil {
+		return err
+	}
+	f.data = f.data[:size]
+	return nil
+}
+
+func (f *memFile) Sync() error {
+	f.fs.mu.Lock()
+	defer f.fs.mu.Unlock()
+	if _, err := f.fs.take(1); err != nil {
+		return err
+	}
+	if f.fs.faulty != nil {
+		return f.fs.faulty
+	}
+	f.fs.syncs++
+	f.synced = slices.Clone(f.data)
+	return nil
+}
+
+func (f *memFile) Close() error { return nil }
+
+// cut is a power cut: of what was not synced some is there, and of names too.
+func (m *memory) cut(rng *rand.Rand) {
+	for name, f := range m.files {
+		if !f.named {
+			delete(m.files, name)
+			continue
+		}
+		keep := len(f.synced)
+		if more := len(f.data) - keep; more > 0 {
+			keep += rng.IntN(more + 1)
+		}
+		f.data = f.data[:keep]
+	}
+	m.left = -1
+}
+
+const budget = 256 << 10
+
+func open(t testing.TB, fs FS, d Durability) *Store {
+	t.Helper()
+	s, err := Open(Options{FS: fs, Budget: budget, Segment: 16 << 10, Durability: d, GroupWait: time.Hour})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
+
+// load is a traffic of entities that begin, grow and end, and what was promised of them.
+type load struct {
+	rng  *rand.Rand
+	next uint64
+	live map[uint64][]string // promised
+	ids  []uint64
+	last uint64 // the entity of the latest append, of which nobody knows if that failed
+}
+
+func newLoad(seed uint64) *load {
+	return &load{rng: rand.New(rand.NewPCG(seed, 1)), next: 1, live: map[uint64][]string{}}
+}
+
+// step appends once; its error ends the traffic.
+func (l *load) step(s *Store) error {
+	if len(l.ids) > 0 && (len(l.ids) > 150 || l.rng.IntN(5) < 2) {
+		i := l.rng.IntN(len(l.ids))
+		id := l.ids[i]
+		l.last = id
+		if err := s.Append(Record{Entity: id, Kind: End}); err != nil {
+			return err
+		}
+		delete(l.live, id)
+		l.ids = slices.Delete(l.ids, i, i+1)
+		return nil
+	}
+	if len(l.ids) > 0 && l.rng.IntN(2) == 0 {
+		id := l.ids[l.rng.IntN(len(l.ids))]
+		text := fmt.Sprint("more ", l.rng.IntN(1000))
+		l.last = id
+		if err := s.Append(Record{Entity: id, Data: []byte(text)}); err != nil {
+			return err
+		}
+		l.live[id] = append(l.live[id], text)
+		return nil
+	}
+	id := l.next
+	l.next++
+	l.last = id
+	text := strings.Repeat(strconv.Itoa(int(id)%10), 50+l.rng.IntN(600))
+	if err := s.Append(Record{Entity: id, Time: int64(id), Dest: int64(id % 7), Key: fmt.Sprint("k", id%50), Data: []byte(text)}); err != nil {
+		return err
+	}
+	l.live[id] = []string{text}
+	l.ids = append(l.ids, id)
+	return nil
+}
+
+// holds wants a store to have what was promised, no more and no less; of the entity
+// of an append that failed it may have that append or not.
+func (l *load) holds(t *testing.T, s *Store, what string, unsure uint64) {
+	t.Helper()
+	seen := 0
+	s.Entities(func(e Entity) bool {
+		want, live := l.live[e.ID]
+		if !live && e.ID != unsure {
+			t.Errorf("%s: entity %d came back", what, e.ID)
+			return false
+		}
+		if live {
+			seen++
+		}
+		list, err := s.Load(e.ID)
+		if err != nil {
+			t.Errorf("%s: entity %d: %v", what, e.ID, err)
+			return false
+		}
+		var got []string
+		for _, r := range list {
+			got = append(got, string(r.Data))
+		}
+		if e.ID != unsure && !slices.Equal(got, want) || live && len(got) < len(want) {
+			t.Errorf("%s: entity %d has %d records, want %d", what, e.ID, len(got), len(want))
+		}
+		if e.ID != unsure && live && (e.Time != int64(e.ID) || e.Dest != int64(e.ID%7) || e.Key != fmt.Sprint("k", e.ID%50)) {
+			t.Errorf("%s: entity %d reads as %+v", what, e.ID, e)
+		}
+		return !t.Failed()
+	})
+	missing := len(l.live) - seen
+	if _, was := l.live[unsure]; was && missing == 1 {
+		missing = 0 // its end got through
+	}
+	if missing != 0 {
+		t.Errorf("%s: %d entities are lost", what, missing)
+	}
+}
+
+// Long traffic through a small budget: it is never passed, no step is long, nothing is
+// lost, and the store reads as before when it is opened again.
+func TestCompaction(t *testing.T) {
+	m := newMemory()
+	s := open(t, m, Process)
+	l := newLoad(1)
+	for i := range 20_000 {
+		if err := l.step(s); err != nil {
+			t.Fatalf("append %d: %v; %+v", i, err, s.Stats())
+		}
+	}
+	l.holds(t, s, "at the end", 0)
+	stats := s.Stats()
+	if m.most > budget || stats.DiskBytes != m.used() {
+		t.Errorf("%d bytes at most of %d; %d counted, %d there", m.most, budget, stats.DiskBytes, m.used())
+	}
+	if stats.Removed < 50 || stats.LargestGap > 64<<10 {
+		t.Errorf("%+v", stats)
+	}
+	t.Logf("%+v, write amplification %.2f", stats, 1+float64(stats.Copied)/float64(stats.Appended))
+	s.Close()
+	again := open(t, m, Process)
+	l.holds(t, again, "opened again", 0)
+	if len(again.Damages()) > 0 {
+		t.Errorf("damage: %+v", again.Damages())
+	}
+	keys := 0
+	again.ByKey("k7", func(e Entity) bool { keys++; return e.Key == "k7" })
+	dests := 0
+	again.ByDest(3, func(e Entity) bool { dests++; return e.Dest == 3 })
+	times := int64(0)
+	again.ByTime(0, func(e Entity) bool {
+		if e.Time < times {
+			t.Error("not in the order of time")
+		}
+		times = e.Time
+		return true
+	})
+	wantKeys, wantDests := 0, 0
+	for id := range l.live {
+		if id%50 == 7 {
+			wantKeys++
+		}
+		if id%7 == 3 {
+			wantDests++
+		}
+	}
+	if keys != wantKeys || dests != wantDests {
+		t.Errorf("by key %d of %d, by destination %d of %d", keys, wantKeys, dests, wantDests)
+	}
+}
+
+// Killed at any byte, also in the middle of compaction: what was promised is there, and
+// the traffic goes on.
+func TestKilledAnywhere(t *testing.T) {
+	for seed := range uint64(400) {
+		m := newMemory()
+		s := open(t, m, Process)
+		l := newLoad(seed)
+		for range 300 { // into compaction
+			if err := l.step(s); err != nil {
+				t.Fatal(err)
+			}
+		}
+		for round := range 4 {
+			m.left = l.rng.IntN(60_000)
+			var err error
+			for err == nil {
+				err = l.step(s)
+			}
+			if !errors.Is(err, errDead) {
+				t.Fatalf("seed %d: %v", seed, err)
+			}
+			m.left = -1
+			unsure := l.last
+			s = open(t, m, Process)
+			l.holds(t, s, fmt.Sprintf("seed %d, round %d", seed, round), unsure)
+			for _, d := range s.Damages() {
+				if !d.Tail {
+					t.Errorf("seed %d: a kill left damage: %+v", seed, d)
+				}
+			}
+			if t.Failed() {
+				return
+			}
+			l.settle(t, s, unsure)
+		}
+		if m.most > budget {
+			t.Fatalf("seed %d: %d bytes of %d", seed, m.most, budget)
+		}
+	}
+}
+
+// settle ends the entity of which nobody knows.
+func (l *load) settle(t *testing.T, s *Store, unsure uint64) {
+	t.Helper()
+	if err := s.Append(Record{Entity: unsure, Kind: End}); err != nil {
+		t.Fatal(err)
+	}
+	delete(l.live, unsure)
+	l.ids = slices.DeleteFunc(l.ids, func(id uint64) bool { return id == unsure })
+}
+
+// A power cut: with each append synced all that was promised is there; with group sync
+// all up to the latest sync; with neither nothing is promised, and the log can be read.
+func TestPowerCut(t *testing.T) {
+	for seed := range uint64(100) {
+		for _, d := range []Durability{Each, Group, Process} {
+			m := newMemory()
+			s := open(t, m, d)
+			l := newLoad(seed)
+			for range 400 {
+				if err := l.step(s); err != nil {
+					t.Fatal(err)
+				}
+			}
+			if d == Group {
+				if err := s.Sync(); err != nil {
+					t.Fatal(err)
+				}
+				s.timer.Stop()
+			}
+			m.left = 3000 // some more that nobody was promised, but with Each
+			var err error
+			for err == nil && d == Each {
+				err = l.step(s)
+			}
+			unsure := l.last
+			m.cut(rand.New(rand.NewPCG(seed, 2)))
+			s = open(t, m, d)
+			if d != Process {
+				l.holds(t, s, fmt.Sprintf("seed %d, durability %d", seed, d), unsure)
+			}
+			if t.Failed() {
+				return
+			}
+			s.Close()
+		}
+	}
+}
+
+// A disk that runs full, a short write, a sync that fails: nothing is promised that is
+// not there, nothing before is lost, and a sync that failed is not tried again.
+func TestFaults(t *testing.T) {
+	m := newMemory()
+	s := open(t, m, Process)
+	l := newLoad(3)
+	for range 200 {
+		if err := l.step(s); err != nil {
+			t.Fatal(err)
+		}
+	}
+	m.full = m.used()
+	var err error
+	for err == nil {
+		err = l.step(s)
+	}
+	unsure := l.last
+	if !errors.Is(err, errNoRoom) {
+		t.Fatalf("a full disk: %v", err)
+	}
+	l.holds(t, s, "with the disk full", unsure)
+	m.full = 0
+	for range 50 {
+		m.short = true
+		if err := l.step(s); !errors.Is(err, errIO) {
+			t.Fatalf("a short write: %v", err)
+		}
+		l.holds(t, s, "after a short write", 0)
+		if err := l.step(s); err != nil {
+			t.Fatal(err)
+		}
+	}
+	s.Close()
+	s = open(t, m, Each)
+	l.holds(t, s, "opened again", 0)
+	if len(s.Damages()) > 0 {
+		t.Errorf("%+v", s.Damages())
+	}
+	m.faulty = errIO
+	if err := l.step(s); !errors.Is(err, ErrBroken) {
+		t.Fatalf("a failed sync: %v", err)
+	}
+	m.faulty = nil
+	if err := s.Append(Record{Entity: 1 << 40}); !errors.Is(err, ErrBroken) {
+		t.Errorf("after a failed sync: %v", err)
+	}
+}
+
+// More live than fits: the store says so, and ends still get through and make room.
+func TestCannotWin(t *testing.T) {
+	m := newMemory()
+	s := open(t, m, Process)
+	id := uint64(0)
+	for s.Room(1000) {
+		id++
+		if err := s.Append(Record{Entity: id, Data: make([]byte, 900)}); err != nil {
+			t.Fatalf("%v though there is room: %+v", err, s.Stats())
+		}
+	}
+	var err error
+	for err == nil {
+		id++
+		err = s.Append(Record{Entity: id, Data: make([]byte, 900)})
+	}
+	if !errors.Is(err, ErrFull) || m.most > budget {
+		t.Fatalf("%v, %d bytes", err, m.most)
+	}
+	for i := uint64(1); i < id; i++ {
+		if err := s.Append(Record{Entity: i, Kind: End}); err != nil {
+			t.Fatalf("end %d of %d: %v", i, id, err)
+		}
+	}
+	if err := s.Append(Record{Entity: id, Data: make([]byte, 900)}); err != nil || !s.Room(1000) {
+		t.Errorf("after all have ended: %v", err)
+	}
+}
+
+// Damage of any byte of any file: what can be read is, and what may lack a record is in
+// doubt. Nothing that has ended is told as sound.
+func TestDamage(t *testing.T) {
+	base := newMemory()
+	s := open(t, base, Process)
+	l := newLoad(5)
+	for range 600 {
+		if err := l.step(s); err != nil {
+			t.Fatal(err)
+		}
+	}
+	s.Close()
+	names, _ := base.List()
+	slices.Sort(names)
+	rng := rand.New(rand.NewPCG(9, 9))
+	for range 300 {
+		m := newMemory()
+		for name, f := range base.files {
+			m.files[name] = &memFile{fs: m, data: slices.Clone(f.data)}
+		}
+		name := names[rng.IntN(len(names)-1)] // not the last, whose tail a kill may cut
+		f := m.files[name]
+		from := rng.IntN(len(f.data))
+		to := min(len(f.data), from+1+rng.IntN(2000))
+		for i := from; i < to; i++ {
+			f.data[i] ^= byte(1 + rng.IntN(255))
+		}
+		s := open(t, m, Process)
+		if len(s.Damages()) == 0 {
+			t.Fatalf("%s, %d to %d: not seen", name, from, to)
+		}
+		sound := 0
+		s.Entities(func(e Entity) bool {
+			list, err := s.Load(e.ID)
+			if err != nil {
+				t.Errorf("%s, %d to %d: %v", name, from, to, err)
+			}
+			want, live := l.live[e.ID]
+			if !e.Doubtful && (!live || len(list) != len(want)) {
+				t.Errorf("%s, %d to %d: entity %d is told as sound, live %t, %d records of %d", name, from, to, e.ID, live, len(list), len(want))
+			}
+			if !e.Doubtful {
+				sound++
+			}
+			return true
+		})
+		if t.Failed() {
+			return
+		}
+		for range 100 { // and it goes on
+			if err := s.Append(Record{Entity: 1 << 30, Data: make([]byte, 300)}, Record{Entity: 1 << 30, Kind: End}); err != nil {
+				t.Fatal(err)
+			}
+		}
+	}
+}
+
+// A newer format is refused, and the file is as it was.
+func TestNewerFormat(t *testing.T) {
+	m := newMemory()
+	s := open(t, m, Process)
+	s.Append(Record{Entity: 1, Data: []byte("x")})
+	s.Close()
+	name := segmentName(1)
+	f := m.files[name]
+	f.data[8] = format + 1
+	copy(f.data[20:24], func() []byte { b := segmentHead(1); b[8] = format + 1; return crcOf(b[:20]) }())
+	before := slices.Clone(f.data)
+	if _, err := Open(Options{FS: m, Budget: budget, Segment: 16 << 10}); !errors.Is(err, ErrNewer) {
+		t.Errorf("%v", err)
+	}
+	if !slices.Equal(before, f.data) || len(m.files) != 1 {
+		t.Error("the folder was changed")
+	}
+}
+
+// A second process is refused, with the pid of the first.
+func TestLocked(t *testing.T) {
+	dir := t.TempDir()
+	c := exec.Command(os.Args[0])
+	c.Env = append(os.Environ(), "STORE_HOLD="+dir)
+	in, _ := c.StdinPipe()
+	out, _ := c.StdoutPipe()
+	if err := c.Start(); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := out.Read(make([]byte, 4)); err != nil {
+		t.Fatal(err)
+	}
+	_, err := Open(Options{FS: Dir(dir), Budget: budget, Segment: 16 << 10})
+	if !errors.Is(err, ErrLocked) || !strings.Contains(err.Error(), fmt.Sprint("process ", c.Process.Pid)) {
+		t.Errorf("%v", err)
+	}
+	in.Close()
+	c.Wait()
+	s, err := Open(Options{FS: Dir(dir), Budget: budget, Segment: 16 << 10})
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.Close()
+}
+
+// Group sync: one sync stands for many appends.
+func TestGroup(t *testing.T) {
+	m := newMemory()
+	s, err := Open(Options{FS: m, Budget: budget, Segment: 16 << 10, Durability: Group, GroupWait: time.Millisecond})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer s.Close()
+	for i := range 20 {
+		if err := s.Append(Record{Entity: uint64(i + 1)}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for until := time.Now().Add(20 * time.Second); s.Stats().Syncs == 0; time.Sleep(time.Millisecond) {
+		if time.Now().After(until) {
+			t.Fatal("never synced")
+		}
+	}
+	if n := s.Stats().Syncs; n > 20 {
+		t.Errorf("%d syncs", n)
+	}
+}
