--- a/cmd/cleathold/lab.go
+++ b/cmd/cleathold/lab.go
@@ -216,11 +216,12 @@
 
 type labRunCmd struct {
 	script
-	Seed     uint64 `help:"Seed." default:"1"`
-	Out      string `help:"Folder for the run."`
-	Program  string `help:"The senders' program; without it this one." type:"existingfile"`
-	Settings string `help:"Settings script for the senders." type:"existingfile"`
-	JSON     bool   `help:"JSON instead of text." name:"json"`
+	Seed     uint64  `help:"Seed." default:"1"`
+	Out      string  `help:"Folder for the run."`
+	Program  string  `help:"The senders' program; without it this one." type:"existingfile"`
+	Settings string  `help:"Settings script for the senders." type:"existingfile"`
+	MemoryMB float64 `help:"Memory that each sender may have, in MB." name:"memory-mb" default:"192"`
+	JSON     bool    `help:"JSON instead of text." name:"json"`
 }
 
 func (c *labRunCmd) Run(out io.Writer, log *slog.Logger) error {
@@ -230,7 +231,7 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
-	r, err := playSockets(ctx, s, c.Seed, c.Program, c.Settings, c.Out, log, os.Stderr)
+	r, err := playSockets(ctx, s, rig.Setup{Plan: s.Plan(c.Seed), Program: c.Program, Settings: c.Settings, MemoryMB: c.MemoryMB, Folder: c.Out, Log: log, Progress: os.Stderr})
 	if err != nil {
 		return exit{err, exitOff}
 	}
@@ -244,6 +245,7 @@
 		r.Seed, r.Service, r.Whole, r.Worst, r.WorstAt, r.Messages, r.Calls, r.Refused, r.Conns, r.Restarts)
 	fmt.Fprintf(out, "lag of the rig: partners %.2f ms at the 99th percentile, %.2f at most; clients %.2f and %.2f; hand-ins answered after %.2f ms at the 99th percentile\n",
 		r.Rig.P99, r.Rig.Max, r.Clients.Lag.P99, r.Clients.Lag.Max, r.Clients.Door.P99)
+	fmt.Fprintf(out, "a sender had %.0f MB at most\n", r.PeakMB)
 	for _, m := range r.Marks {
 		fmt.Fprintln(out, "NOTE:", m)
 	}
@@ -252,33 +254,29 @@
 }
 
 // playSockets is one run on sockets. Its folder is a temporary one if none is named.
-func playSockets(ctx context.Context, s *scenario.Scenario, seed uint64, program, settings, folder string, log *slog.Logger, progress io.Writer) (rig.Result, error) {
+func playSockets(ctx context.Context, s *scenario.Scenario, set rig.Setup) (rig.Result, error) {
 	var err error
-	if program == "" {
-		if program, err = os.Executable(); err != nil {
+	if set.Program == "" {
+		if set.Program, err = os.Executable(); err != nil {
 			return rig.Result{}, err
 		}
 	}
-	if program, err = filepath.Abs(program); err != nil {
-		return rig.Result{}, err
-	}
-	if settings != "" {
-		if settings, err = filepath.Abs(settings); err != nil {
+	for _, path := range []*string{&set.Program, &set.Settings, &set.Folder} { // the senders run elsewhere
+		if *path == "" {
+			continue
+		}
+		if *path, err = filepath.Abs(*path); err != nil {
 			return rig.Result{}, err
 		}
 	}
-	set := rig.Setup{Plan: s.Plan(seed), Program: program, Settings: settings, Log: log, Progress: progress}
-	if folder == "" {
+	if set.Folder == "" {
 		if set.Folder, err = os.MkdirTemp("", "cleathold-lab-"); err != nil {
 			return rig.Result{}, err
 		}
 		defer os.RemoveAll(set.Folder)
 		return rig.Run(ctx, set)
 	}
-	if set.Folder, err = filepath.Abs(folder); err != nil {
-		return rig.Result{}, err
-	}
-	book, err := ledger.Create(set.Folder, head(s, seed, "sockets", program), s.Script)
+	book, err := ledger.Create(set.Folder, head(s, set.Plan.Seed, "sockets", set.Program), s.Script)
 	if err != nil {
 		return rig.Result{}, err
 	}
@@ -509,7 +507,7 @@
 		if err != nil {
 			return 0, 0, err
 		}
-		r, err := playSockets(ctx, s, seed, program, []string{c.SettingsA, c.SettingsB}[side], "", log, io.Discard)
+		r, err := playSockets(ctx, s, rig.Setup{Plan: s.Plan(seed), Program: program, Settings: []string{c.SettingsA, c.SettingsB}[side], Log: log})
 		return r.Service, len(r.Breaks), err
 	}
 	if scripts {
--- a/internal/rig/process.go
+++ b/internal/rig/process.go
@@ -18,13 +18,13 @@
 	"golang.org/x/sys/unix"
 
 	"cleathold/internal/lab"
-	"cleathold/internal/scenario"
 )
 
 const (
 	readySpan   = 30 * time.Second
 	restartSpan = 600 * time.Millisecond
 	killSpan    = 3700 * time.Millisecond // from SIGTERM to SIGKILL
+	usualMB     = 192                     // memory of a sender
 	logTail     = 600                     // bytes of its log that go with an error
 )
 
@@ -44,7 +44,11 @@
 }
 
 // NewProcess prepares a sender's folder. Nothing runs yet.
-func NewProcess(p *scenario.Plan, num int, program, dir, discovery, settings string) (*Process, error) {
+func NewProcess(s Setup, num int, dir, discovery string) (*Process, error) {
+	p, memory := s.Plan, s.MemoryMB
+	if memory <= 0 {
+		memory = usualMB
+	}
 	state := filepath.Join(dir, "state")
 	if err := os.MkdirAll(state, 0o700); err != nil {
 		return nil, fmt.Errorf("rig: %w", err)
@@ -53,10 +57,10 @@
 	if err != nil {
 		return nil, err
 	}
-	x := &Process{num: num, program: program, dir: dir, addr: addr, hold: hold, settings: settings}
+	x := &Process{num: num, program: s.Program, dir: dir, addr: addr, hold: hold, settings: s.Settings}
 	config, err := json.MarshalIndent(map[string]any{
 		"name": fmt.Sprint("n", num), "listen": addr, "discovery": discovery, "state": state,
-		"limits":   map[string]any{"cores": 1, "memory_mb": 192, "sockets": 1024, "disk_mb": 3},
+		"limits":   map[string]any{"cores": 1, "memory_mb": memory, "sockets": 1024, "disk_mb": 3},
 		"known":    map[string]any{"version": 0, "full": true, "servers": []any{}},
 		"settings": lab.Profile(p, num),
 	}, "", " ")
@@ -205,6 +209,27 @@
 	return string(bytes.TrimSpace(text))
 }
 
+// PeakMB is the most memory that the one that runs has had; 0 where nobody runs.
+func (x *Process) PeakMB() float64 {
+	x.mu.Lock()
+	c := x.cmd
+	x.mu.Unlock()
+	if c == nil || c.Process == nil {
+		return 0
+	}
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", c.Process.Pid))
+	if err != nil {
+		return 0
+	}
+	for line := range bytes.Lines(text) {
+		var kb float64
+		if n, _ := fmt.Sscanf(string(line), "VmHWM: %f", &kb); n == 1 {
+			return kb / 1024
+		}
+	}
+	return 0
+}
+
 // Stop ends the one that runs: in order, or at once.
 func (x *Process) Stop(orderly bool) {
 	ended := x.Ended()
--- a/internal/rig/run.go
+++ b/internal/rig/run.go
@@ -31,6 +31,7 @@
 	Log      *slog.Logger
 	Progress io.Writer
 	Sink     func(audit.Event) error
+	MemoryMB float64       // each sender's limit; 0 = 192
 	ReadyIn  time.Duration // a sender must be ready so long after its start; 0 = 30 s
 }
 
@@ -40,6 +41,7 @@
 	Rig     Lag      `json:"rig_lag"` // of the partners' answers, against the model
 	Clients Seen     `json:"clients"`
 	Crashes int      `json:"crashes"`
+	PeakMB  float64  `json:"peak_mb"`         // the most memory that a sender had which ran to the end
 	Marks   []string `json:"marks,omitempty"` // why the run is to be read with care
 }
 
@@ -71,6 +73,10 @@
 		err = g.play()
 	}
 	orderly := err == nil && context.Cause(w.ctx) == nil
+	peak := 0.0
+	for _, x := range g.processes {
+		peak = max(peak, x.PeakMB())
+	}
 	g.stop(orderly)
 	cause := context.Cause(w.ctx)
 	seen := Seen{}
@@ -78,7 +84,7 @@
 		seen = g.clients.Seen()
 		defer g.clients.Close()
 	}
-	r := Result{Result: w.Close(), Rig: lagOf(w.lag), Clients: seen, Crashes: g.crashes}
+	r := Result{Result: w.Close(), Rig: lagOf(w.lag), Clients: seen, Crashes: g.crashes, PeakMB: peak}
 	r.Restarts = g.restarts
 	if err == nil && !errors.Is(cause, errOver) {
 		err = cause
@@ -114,7 +120,7 @@
 	}
 	var addresses []string
 	for i := range g.Plan.Scenario.Senders {
-		x, err := NewProcess(g.Plan, i, g.Program, filepath.Join(g.Folder, fmt.Sprint("n", i)), platform[i], g.Settings)
+		x, err := NewProcess(g.Setup, i, filepath.Join(g.Folder, fmt.Sprint("n", i)), platform[i])
 		if err != nil {
 			return err
 		}
@@ -299,7 +305,7 @@
 	for i := 0; err == nil && i < s.Plan.Scenario.Senders; i++ {
 		var x *Process
 		dir := filepath.Join(s.Folder, fmt.Sprint("n", i))
-		if x, err = NewProcess(s.Plan, i, s.Program, dir, platform[i], s.Settings); err == nil {
+		if x, err = NewProcess(s, i, dir, platform[i]); err == nil {
 			defer x.Release()
 			fmt.Fprintf(out, "sender %d: listens on %s, discovery %s, start it by: LB_CONFIG=%s cleathold serve\n", i, x.addr, platform[i], x.config())
 		}
