Have both fronts of the laboratory take one client, and the queue that stands

Need: on reading the change again, how clients come again was written twice, once for virtual time and once for sockets; the rig looked for its next step by hand beside timeline.Queue; a length was put together from bytes beside encoding/binary.

Change: lab.Wanted, used by Sim and by the rig's clients; the rig's script is a timeline.Queue; a sleep that proved nothing is gone from a test. Behaviour and assertions are as they were.

--- a/internal/lab/sender.go
+++ b/internal/lab/sender.go
@@ -67,7 +67,7 @@
 
 // shunned tells whether the front knows that there is nobody.
 func (x *sender) shunned(now time.Duration) bool {
-	return (x.dead || x.leaving) && now-x.leftAt >= frontSpan || x.leaving && now-x.leftAt >= stopSpan-200*time.Millisecond
+	return (x.dead || x.leaving) && now-x.leftAt >= FrontSpan || x.leaving && now-x.leftAt >= stopSpan-200*time.Millisecond
 }
 
 // leave is SIGTERM: the stages of lifecycle, in virtual time.
--- a/internal/lab/sim.go
+++ b/internal/lab/sim.go
@@ -30,14 +30,12 @@
 	drainSpan  = 30 * time.Second       // a run goes on for so long after the last arrival
 
 	// Of a sender that ends. The figures of lifecycle and of DEPLOY.
-	frontSpan   = 2 * time.Second // the front goes on sending to a dead one for so long
 	restartSpan = 600 * time.Millisecond
 	startSpan   = 50 * time.Millisecond // until it is ready
 	stopSpan    = 500 * time.Millisecond
 	haltSpan    = 2 * time.Second
 	finishSpan  = 3300 * time.Millisecond
 	quietCheck  = 20 * time.Millisecond
-	deadTries   = 8 // hand-ins of one message that reach nobody, at most
 )
 
 // Result is what a run showed.
@@ -74,21 +72,11 @@
 	tally    *Tally
 	sink     func(audit.Event) error
 	arrivals *scenario.Arrivals
-	messages map[string]*message
+	messages map[string]*Wanted
 	result   Result
 	err      error
 }
 
-// A message is one first hand-in with its retries.
-type message struct {
-	scenario.Arrival
-	key     string
-	tries   int // refused, at most as often as clients come again
-	serial  int // hand-ins
-	nowhere int // those that reached nobody
-	done    bool
-}
-
 // at has something done at a time.
 func (s *Sim) at(when time.Duration, do func()) {
 	s.serial++
@@ -123,7 +111,7 @@
 func NewSim(p *scenario.Plan, log *slog.Logger, sink func(audit.Event) error) (*Sim, error) {
 	s := &Sim{
 		plan: p, rng: rand.New(rand.NewPCG(p.Seed, 99)), log: log, modelAt: -1, dirs: map[int]string{},
-		calls: map[uint64]*flight{}, messages: map[string]*message{}, arrivals: p.Arrivals(), tally: NewTally(p.Scenario), sink: sink,
+		calls: map[uint64]*flight{}, messages: map[string]*Wanted{}, arrivals: p.Arrivals(), tally: NewTally(p.Scenario), sink: sink,
 	}
 	var err error
 	if s.ground, err = NewGround(p, s.note); err != nil {
@@ -216,7 +204,7 @@
 	}
 	s.at(a.At, func() {
 		s.note(audit.Event{What: audit.Asked, N: a.N, Class: a.Class, Tenant: a.Tenant, Dest: a.Dest})
-		s.handIn(&message{Arrival: a, key: fmt.Sprint("k", a.N)})
+		s.handIn(&Wanted{Arrival: a})
 		s.next()
 	})
 }
@@ -234,25 +222,21 @@
 }
 
 // handIn hands a message in, for the first time or again.
-func (s *Sim) handIn(m *message) {
-	class := s.plan.Scenario.Traffic.Classes[m.Class]
-	left := m.At + class.Deadline - s.now
-	if left <= 0 || m.done {
+func (s *Sim) handIn(m *Wanted) {
+	left := m.Left(s.plan.Scenario, s.now)
+	if left <= 0 {
 		return
 	}
 	to := s.front()
 	if !to.open {
-		if m.nowhere++; m.nowhere < deadTries {
-			s.again(m)
-		}
+		s.nowhere(m)
 		return
 	}
-	id := fmt.Sprintf("m%d-%d", m.N, m.serial)
-	again := m.serial > 0
-	m.serial++
+	id, again := m.Next()
+	key := m.Key(s.plan.Scenario)
 	s.messages[id] = m
 	s.at(s.now+clientHop, func() {
-		s.note(audit.Event{What: audit.HandIn, Sender: to.num, Message: id, Class: m.Class, Dest: m.Dest, Left: left, Key: m.keyOf(class.Effect), N: m.N, Tenant: m.Tenant})
+		s.note(audit.Event{What: audit.HandIn, Sender: to.num, Message: id, Class: m.Class, Dest: m.Dest, Left: left, Key: key, N: m.N, Tenant: m.Tenant})
 		if !to.open { // it has died meanwhile
 			s.gone(m, id, to)
 			return
@@ -260,50 +244,39 @@
 		verdict := make(chan state.Verdict, 1)
 		h := state.Handed{Verdict: verdict, Message: &state.Message{
 			ID: id, Class: m.Class, Tenant: m.Tenant, Destination: m.Dest, Deadline: epoch.Add(s.now + left), Again: again,
-			Body: make([]byte, m.Size), Key: m.keyOf(class.Effect),
+			Body: make([]byte, m.Size), Key: key,
 		}}
 		to.waiting = append(to.waiting, awaiting{id, verdict})
 		to.step(h)
 	})
 }
 
-func (m *message) keyOf(effect string) string {
-	if effect == "keyed" {
-		return m.key
-	}
-	return ""
-}
-
 // gone: a client has no answer, and hands in again.
-func (s *Sim) gone(m *message, id string, x *sender) {
+func (s *Sim) gone(m *Wanted, id string, x *sender) {
 	s.note(audit.Event{What: audit.Gone, Sender: x.num, Message: id, Cause: "died"})
 	delete(s.messages, id)
-	if m.nowhere++; m.nowhere < deadTries {
-		s.again(m)
-	}
+	s.nowhere(m)
 }
 
-// again has a client hand in what a dead sender had.
-func (s *Sim) again(m *message) {
-	t := s.plan.Scenario.Traffic.AgainIn
-	s.at(s.now+time.Duration((t.From+(t.To-t.From)*s.rng.Float64())*float64(time.Second)), func() { s.handIn(m) })
+// nowhere has a client hand in again what reached nobody.
+func (s *Sim) nowhere(m *Wanted) {
+	if after, again := m.Nowhere(s.plan.Scenario, s.rng); again {
+		s.at(s.now+after, func() { s.handIn(m) })
+	}
 }
 
 // refused has a client come again, as often as the scenario says.
-func (s *Sim) refused(m *message, id string, told time.Duration) {
+func (s *Sim) refused(m *Wanted, id string, told time.Duration) {
 	delete(s.messages, id)
-	t := s.plan.Scenario.Traffic
-	if m.tries++; m.done || m.tries > t.Retries {
-		return
+	if after, again := m.Refused(s.plan.Scenario, s.rng, told); again {
+		s.at(s.now+after, func() { s.handIn(m) })
 	}
-	pause := time.Duration((t.RetryIn.From + (t.RetryIn.To-t.RetryIn.From)*s.rng.Float64()) * float64(time.Second))
-	s.at(s.now+max(told, pause), func() { s.handIn(m) })
 }
 
 // delivered ends a message for its client.
 func (s *Sim) delivered(id string) {
 	if m := s.messages[id]; m != nil {
-		m.done = true
+		m.Done = true
 		delete(s.messages, id)
 	}
 }
--- a/internal/rig/clients.go
+++ b/internal/rig/clients.go
@@ -15,14 +15,13 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 
 	"cleathold/internal/audit"
+	"cleathold/internal/lab"
 	"cleathold/internal/scenario"
 )
 
 const (
-	openMost  = 20_000 // hand-ins under way; more are left out, and the run is marked
-	idleMost  = 256    // idle connections to a sender
-	deadTries = 8      // hand-ins of one message that reach nobody, at most
-	frontSpan = 2 * time.Second
+	openMost = 20_000 // hand-ins under way; more are left out, and the run is marked
+	idleMost = 256    // idle connections to a sender
 )
 
 // Clients hand in what a plan's arrivals are, each at its time whatever became of
@@ -37,7 +36,7 @@
 	open    int
 	left    int // left out
 	asked   int
-	pending map[string]*wanted // ids that may still be heard of
+	pending map[string]*lab.Wanted // ids that may still be heard of
 	lag     *hdrhistogram.Histogram
 	door    *hdrhistogram.Histogram // from the time wanted to the sender's answer
 	answers map[int]int             // by status; 0 = none
@@ -57,19 +56,10 @@
 	in *bufio.Reader
 }
 
-// wanted is a message with its hand-ins.
-type wanted struct {
-	scenario.Arrival
-	serial  int
-	tries   int
-	nowhere int
-	done    bool
-}
-
 // NewClients makes clients of senders at these addresses.
 func (w *World) NewClients(addresses []string) *Clients {
 	c := &Clients{
-		w: w, rng: rand.New(rand.NewPCG(w.plan.Seed, 99)), pending: map[string]*wanted{}, lag: newLag(), door: newLag(), answers: map[int]int{},
+		w: w, rng: rand.New(rand.NewPCG(w.plan.Seed, 99)), pending: map[string]*lab.Wanted{}, lag: newLag(), door: newLag(), answers: map[int]int{},
 	}
 	for _, a := range addresses {
 		c.senders = append(c.senders, &front{addr: a})
@@ -116,7 +106,7 @@
 		if full {
 			continue
 		}
-		m := &wanted{Arrival: a}
+		m := &lab.Wanted{Arrival: a}
 		c.w.wg.Go(func() {
 			c.handIn(m)
 			c.mu.Lock()
@@ -155,7 +145,7 @@
 		n := (first + i) % len(c.senders)
 		f := c.senders[n]
 		f.mu.Lock()
-		known := !f.down.IsZero() && time.Since(f.down) > frontSpan
+		known := !f.down.IsZero() && time.Since(f.down) > lab.FrontSpan
 		f.mu.Unlock()
 		if !known {
 			return n, f
@@ -168,16 +158,13 @@
 var errNobody = errors.New("nobody there")
 
 // handIn hands a message in, for the first time or again.
-func (c *Clients) handIn(m *wanted) {
+func (c *Clients) handIn(m *lab.Wanted) {
 	w := c.w
 	s := w.plan.Scenario
-	class := &s.Traffic.Classes[m.Class]
-	now := w.now()
-	left := m.At + class.Deadline - now
 	c.mu.Lock()
-	done, id, serial := m.done, fmt.Sprintf("m%d-%d", m.N, m.serial), m.serial
+	left := m.Left(s, w.now())
 	c.mu.Unlock()
-	if left <= 0 || done {
+	if left <= 0 {
 		return
 	}
 	num, f := c.choose()
@@ -187,16 +174,13 @@
 		return
 	}
 	c.mu.Lock()
-	m.serial++
+	id, again := m.Next()
 	c.pending[id] = m
 	c.mu.Unlock()
-	key := ""
-	if class.Effect == "keyed" {
-		key = fmt.Sprint("k", m.N)
-	}
+	key := m.Key(s)
 	w.hand(audit.Event{What: audit.HandIn, Sender: num, Message: id, Class: m.Class, Dest: m.Dest, Left: left, Key: key, N: m.N, Tenant: m.Tenant})
 	limit := time.Now().Add(s.Traffic.Patience)
-	text := request(s, m, id, key, left, serial > 0)
+	text := request(s, m, id, key, left, again)
 	r, err := conn.ask(text, limit)
 	if err != nil && reused && errors.Is(err, io.EOF) { // its close crossed the request
 		if conn, err = f.dial(limit); err == nil {
@@ -209,7 +193,7 @@
 	}
 	c.mu.Lock()
 	c.answers[status]++
-	if serial == 0 {
+	if !again {
 		record(c.door, w.now()-m.At)
 	}
 	c.mu.Unlock()
@@ -229,8 +213,8 @@
 	case status == http.StatusAccepted || status == http.StatusOK:
 		w.Note(audit.Event{What: audit.Taken, Sender: num, Message: id})
 	case status == http.StatusTooManyRequests || status == http.StatusServiceUnavailable:
-		again, _ := strconv.ParseFloat(r.Header.Get("Retry-After"), 64)
-		told := time.Duration(again * float64(time.Second))
+		wait, _ := strconv.ParseFloat(r.Header.Get("Retry-After"), 64)
+		told := time.Duration(wait * float64(time.Second))
 		w.Note(audit.Event{What: audit.TurnedAt, Sender: num, Message: id, Wait: told})
 		c.forget(id)
 		c.refused(m, told)
@@ -246,7 +230,7 @@
 }
 
 // request is a hand-in as PROTOCOL has it.
-func request(s *scenario.Scenario, m *wanted, id, key string, left time.Duration, again bool) []byte {
+func request(s *scenario.Scenario, m *lab.Wanted, id, key string, left time.Duration, again bool) []byte {
 	text := fmt.Appendf(nil, "POST /%s HTTP/1.1\r\nHost: app.svc\r\nX-Request-Id: %s\r\nX-Tenant: %s\r\nX-Deadline: %.6f\r\nX-Addressing: dest=%d\r\nContent-Length: %d\r\n",
 		s.Traffic.Classes[m.Class].Name, id, s.Traffic.Tenants[m.Tenant].Name, left.Seconds(), m.Dest, m.Size)
 	if key != "" {
@@ -265,33 +249,23 @@
 	c.mu.Unlock()
 }
 
-// span draws from a range of seconds.
-func (c *Clients) span(r scenario.Range) time.Duration {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return time.Duration((r.From + (r.To-r.From)*c.rng.Float64()) * float64(time.Second))
-}
-
 // nowhere has a client hand in again what reached nobody.
-func (c *Clients) nowhere(m *wanted) {
+func (c *Clients) nowhere(m *lab.Wanted) {
 	c.mu.Lock()
-	m.nowhere++
-	more := m.nowhere < deadTries
+	after, again := m.Nowhere(c.w.plan.Scenario, c.rng)
 	c.mu.Unlock()
-	if more {
-		c.after(c.span(c.w.plan.Scenario.Traffic.AgainIn), func() { c.handIn(m) })
+	if again {
+		c.after(after, func() { c.handIn(m) })
 	}
 }
 
 // refused has a client come again, as often as the scenario says.
-func (c *Clients) refused(m *wanted, told time.Duration) {
-	t := c.w.plan.Scenario.Traffic
+func (c *Clients) refused(m *lab.Wanted, told time.Duration) {
 	c.mu.Lock()
-	m.tries++
-	more := !m.done && m.tries <= t.Retries
+	after, again := m.Refused(c.w.plan.Scenario, c.rng, told)
 	c.mu.Unlock()
-	if more {
-		c.after(max(told, c.span(t.RetryIn)), func() { c.handIn(m) })
+	if again {
+		c.after(after, func() { c.handIn(m) })
 	}
 }
 
@@ -312,7 +286,7 @@
 	defer c.mu.Unlock()
 	for _, id := range ids {
 		if m := c.pending[id]; m != nil {
-			m.done = true
+			m.Done = true
 			delete(c.pending, id)
 		}
 	}
--- a/internal/rig/rig_test.go
+++ b/internal/rig/rig_test.go
@@ -174,7 +174,6 @@
 		return n
 	}
 	wait(t, "the call", func() bool { return running() == 1 })
-	time.Sleep(25 * time.Millisecond) // longer than the way; where it is not, the call is cut short and no effect is seen
 	c.Close()
 	wait(t, "its end", func() bool { return running() == 0 })
 	wait(t, "its effect", func() bool {
--- a/internal/rig/world.go
+++ b/internal/rig/world.go
@@ -17,6 +17,7 @@
 	"cleathold/internal/lab"
 	"cleathold/internal/partner"
 	"cleathold/internal/scenario"
+	"cleathold/internal/timeline"
 )
 
 // idleSpan is how long an endpoint keeps an idle connection.
@@ -223,31 +224,21 @@
 
 // script does what the plan says to the endpoints, and to discovery.
 func (w *World) script() {
-	type act struct {
-		at time.Duration
-		do func()
-	}
-	var acts []act
-	for _, c := range w.plan.Changes {
-		acts = append(acts, act{c.At, func() { w.change(c) }})
+	var acts timeline.Queue[func()]
+	for i, c := range w.plan.Changes {
+		acts.Push(c.At, uint64(i), func() { w.change(c) })
 	}
 	for _, b := range w.plan.Blind {
-		acts = append(acts, act{b.From, w.ring}, act{b.To, w.ring})
+		acts.Push(b.From, 0, w.ring)
+		acts.Push(b.To, 0, w.ring)
 	}
-	for len(acts) > 0 {
-		next := 0
-		for i := range acts {
-			if acts[i].at < acts[next].at {
-				next = i
-			}
-		}
-		a := acts[next]
-		acts = append(acts[:next], acts[next+1:]...)
-		if !w.at(a.at) {
+	for _, _, some := acts.First(); some; _, _, some = acts.First() {
+		at, do := acts.Pop()
+		if !w.at(at) {
 			return
 		}
 		w.mu.Lock()
-		a.do()
+		do()
 		w.mu.Unlock()
 	}
 }
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -10,6 +10,7 @@
 package store
 
 import (
+	"encoding/binary"
 	"errors"
 	"fmt"
 	"io"
@@ -143,7 +144,7 @@
 
 func whole(size int64) int64 { return (size + unit - 1) / unit * unit }
 
-// less orders an index by one field, then by id.
+// newIndex is ordered by a field, then by id.
 func newIndex(compare func(a, b indexed) int) *btree.BTreeG[indexed] {
 	return btree.NewBTreeGOptions(func(a, b indexed) bool {
 		if c := compare(a, b); c != 0 {
@@ -484,8 +485,7 @@
 }
 
 func frameLength(head []byte) int {
-	n := int(uint32(head[4]) | uint32(head[5])<<8 | uint32(head[6])<<16 | uint32(head[7])<<24)
-	return frameHead + min(n, frameMost)
+	return frameHead + min(int(binary.LittleEndian.Uint32(head[4:])), frameMost)
 }
 
 func (e *entity) public() Entity {
