Take connections for scarce in a large fleet until calls show otherwise

Each sender opens a connection to each of the 14 endpoints and keeps it idle; an endpoint of the small kind takes 6 to 16. Those that come later find no room, learn it one by one (crowding in control.go started from nothing known), and three such answers open the route as if it had gone down. Change: presume() starts the part of calls that get no connection at 1 where there are crowdFleet siblings or more; served calls let it fade as before. Fleets of less than eight act as before.

--- a/control/control.go
+++ b/control/control.go
@@ -39,6 +39,7 @@
 	lossFade     = 0.01                   // part of that memory lost with each connection closed for it
 	crowdWeight  = 0.05                   // weight of the latest call in the part of a kind's calls...
 	crowdLimit   = 0.01                   // ...that get no connection; above this they are closed once idle
+	crowdFleet   = 8                      // so many siblings, one idle connection each, fill a partner that takes few
 	reserve      = 0.25                   // part of the slots kept for calls that bring at least...
 	lowYield     = 0.5                    // ...so much of what slots usually bring for their time
 	yieldWeight  = 0.02                   // weight of the latest call in that
@@ -535,9 +536,18 @@
 	return band
 }
 
+// presume is where the learning of crowding starts for a kind. A large fleet that first fills its partners
+// with idle connections leaves most senders without any: there they are scarce until calls show otherwise.
+func (c *Controller) presume(kind int) {
+	if _, known := c.crowd[kind]; !known && c.set.Siblings >= crowdFleet {
+		c.crowd[kind] = 1
+	}
+}
+
 // crowding learns how often endpoints of a kind refuse connections though they seem well: some take few,
 // and those that siblings hold idle count.
 func (c *Controller) crowding(e *endpoint, r Result) {
+	c.presume(e.Kind)
 	if r == NoConnection && !e.route.open {
 		c.crowd[e.Kind] += crowdWeight
 	}
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -649,6 +649,29 @@
 	}
 }
 
+// In a large fleet connections are taken for scarce from the first call on: if each sender kept one, a partner
+// that takes few would have no room for most of them. Calls that all find room show that there is enough.
+func TestLargeFleetKeepsNoIdleConnections(t *testing.T) {
+	for _, siblings := range []int{crowdFleet - 1, crowdFleet, 80} {
+		set := settings()
+		set.Siblings = siblings
+		r := newRecorder(t, set)
+		r.ready(0, 1)
+		r.arrive(1, 0, 0)
+		r.serve(200*ms, 50*ms)
+		if closed, want := len(r.closed) == 1, siblings >= crowdFleet; closed != want {
+			t.Errorf("%d siblings: first connection closed %v", siblings, closed)
+		}
+		for id := MessageID(2); id < 200; id++ {
+			r.arrive(id, 0, 0)
+			r.serve(200*ms, 50*ms)
+		}
+		if n := len(r.closed); n > 100 {
+			t.Errorf("%d siblings: %d of 199 connections closed though all calls found room", siblings, n)
+		}
+	}
+}
+
 // The first call to a destination is judged by what all the others taught.
 func TestFirstCallExpectsTheUsual(t *testing.T) {
 	r := newRecorder(t, settings())
