--- a/control/control.go
+++ b/control/control.go
@@ -39,7 +39,7 @@
 	lossFade     = 0.01                   // part of that memory lost with each connection closed for it
 	crowdWeight  = 0.05                   // weight of the latest call in the part of a kind's calls...
 	crowdLimit   = 0.01                   // ...that get no connection; above this they are closed once idle
-	crowdFleet   = 8                      // so many siblings, one idle connection each, fill a partner that takes few
+	crowdFleet   = 8                      // so many siblings fill a partner that takes few connections
 	reserve      = 0.25                   // part of the slots kept for calls that bring at least...
 	lowYield     = 0.5                    // ...so much of what slots usually bring for their time
 	yieldWeight  = 0.02                   // weight of the latest call in that
