Ask discovery for changes since version zero, and spread a large fleet's asks

Counted over 80 logs: 1,843 whole lists in the first second, then 2,040 asks of which 4 were answered. (2) control/control.go asked again 0.5 to 1.5 s after each failure, in sum 60 times a second. Discovery answers about 15 a second (32 of 80 in the first 2 s, and 15 a second once it keeps up) and also works off asks whose time is up, so at 60 it answers none. Change: state.NoVersion; a large fleet spreads its first ask, and the ask after each news, over 50 ms a sibling, and doubles its wait after each failure. Small fleets ask as before.

--- a/control/control.go
+++ b/control/control.go
@@ -50,6 +50,8 @@
 	briskStep    = 0.1                    // and takes this part off the rest of its slow start
 	pulse        = 100 * time.Millisecond // step at which the clock is watched while calls are out
 	askRetry     = 0.1                    // share of the ask period to wait after a failed call
+	askDoubled   = 4                      // times that a large fleet doubles what it waits instead
+	askTurn      = 50 * time.Millisecond  // what a large fleet leaves discovery for each ask of one of them
 )
 
 // Endpoints takes news of the endpoint list.
@@ -73,13 +75,31 @@
 	}
 	switch news {
 	case ListCached:
-		c.askAt = c.now
+		if c.askAt = c.now; c.set.AskSpread() > 0 {
+			c.askAt += time.Duration(c.rng.Float64() * float64(c.set.AskSpread()))
+		}
 	case ListFailed:
+		// Discovery that is behind falls further behind with each ask made again: calls that waited too long
+		// have cost it their turn. All siblings meet that at once, so each asks ever more seldom.
 		c.watching, c.asking = false, false
-		c.askAt = c.now + time.Duration(askRetry*(0.5+c.rng.Float64())*float64(c.set.MustAsk))
+		wait, spread := time.Duration(askRetry*float64(c.set.MustAsk)), c.set.AskSpread()
+		if spread > 0 {
+			wait = min(max(wait, spread)<<c.askFailed, max(c.set.MustAsk, spread))
+		}
+		c.askAt = c.now + time.Duration((0.5+c.rng.Float64())*float64(wait))
+		c.askFailed = min(c.askFailed+1, askDoubled)
 	default:
-		c.watching, c.asking = true, false
+		c.watching, c.asking, c.askFailed = true, false, 0
+	}
+}
+
+// AskSpread is the time over which a large fleet spreads what all of its senders ask discovery at one
+// instant: at their start, or when a change has been told. A small one asks at once.
+func (s *Settings) AskSpread() time.Duration {
+	if s.Siblings < crowdFleet {
+		return 0
 	}
+	return time.Duration(s.Siblings) * askTurn
 }
 
 // ask subscribes to the list where it answers only when asked.
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -411,6 +411,54 @@
 	}
 }
 
+// Discovery works through asks in turn, also through those whose askers have given up after two seconds. Of 80
+// senders that start at one instant each is told within ten seconds, and discovery is never asked much more than
+// it can answer.
+func TestManySendersAskDiscoveryInTurn(t *testing.T) {
+	const senders, step, perStep = 80, 100 * ms, 1.5 // 15 asks a second
+	type ask struct {
+		by int
+		at time.Duration
+	}
+	var queue []ask
+	fleet, seen, told := make([]*recorder, senders), make([]int, senders), make([]bool, senders)
+	for i := range fleet {
+		set := settings()
+		set.Ask, set.Siblings, set.Seed = true, senders, uint64(i)
+		fleet[i] = newRecorder(t, set)
+		fleet[i].lists(ListCached, Endpoint{ID: 1, State: Ready})
+	}
+	done, asks, room := 0, 0, 0.0
+	var last time.Duration
+	for now := time.Duration(0); now < 30*time.Second; now += step {
+		for i, r := range fleet {
+			if n := r.watches - seen[i]; n > 0 {
+				queue, asks, seen[i] = append(queue, ask{i, now}), asks+n, r.watches
+			}
+		}
+		for room += perStep; room >= 1 && len(queue) > 0; room-- {
+			q := queue[0]
+			queue = queue[1:]
+			if now-q.at <= 2*time.Second {
+				fleet[q.by].lists(ListDelta)
+				told[q.by], done, last = true, done+1, now
+			}
+		}
+		for i := range queue { // they give up, but discovery still comes to them
+			if q := &queue[i]; now-q.at > 2*time.Second && now-q.at <= 2*time.Second+step {
+				fleet[q.by].lists(ListFailed)
+			}
+		}
+		room = min(room, perStep)
+		for _, r := range fleet {
+			r.pass(step)
+		}
+	}
+	if done < senders || last > 10*time.Second || asks > 2*senders {
+		t.Fatalf("%d of %d told, the last after %v, with %d asks", done, senders, last, asks)
+	}
+}
+
 // Sends of one instant to one endpoint share a call: one slot until all are answered.
 func TestBatchSharesSlot(t *testing.T) {
 	set := settings()
--- a/control/state.go
+++ b/control/state.go
@@ -201,6 +201,7 @@
 	watching  bool
 	asking    bool
 	askAt     time.Duration
+	askFailed int // asks in a row
 }
 
 // New returns a controller for one instance, or an error that names the
--- a/internal/lab/sender.go
+++ b/internal/lab/sender.go
@@ -53,7 +53,7 @@
 	}
 	dir, kept := s.dirs[num]
 	loop, err := state.NewLoop(state.Setup{
-		Settings: set, Known: state.News{Form: control.ListCached}, DiskBytes: 3e6, Log: s.log,
+		Settings: set, Known: state.News{Form: control.ListCached, Version: state.NoVersion}, DiskBytes: 3e6, Log: s.log,
 		Clock: func() time.Time { return epoch.Add(s.now) }, Dir: dir, NoDir: !kept,
 	})
 	if err != nil {
@@ -468,7 +468,7 @@
 			return
 		}
 		x.watches = true
-		if since > 0 {
+		if since != state.NoVersion {
 			x.version = since
 			x.hear()
 			return
--- a/internal/lifecycle/config.go
+++ b/internal/lifecycle/config.go
@@ -86,6 +86,7 @@
 	if err := c.parseSettings(doc.Get("settings"), doc.Get("seed").String()); err != nil {
 		return c, err
 	}
+	c.Known.Version = state.NoVersion
 	if known := doc.Get("known"); known.Exists() {
 		if c.Known, err = protocol.ParseList([]byte(known.Raw), c.Names); err != nil {
 			return c, fmt.Errorf("configuration: known: %w", err)
--- a/internal/lifecycle/serve.go
+++ b/internal/lifecycle/serve.go
@@ -74,7 +74,7 @@
 	}
 	clients, idle := shareSockets(c)
 	sender := protocol.NewSender(loop, c.Settings.ConnIdle, idle, log)
-	discovery := protocol.NewDiscovery(loop, c.Discovery, c.Names, c.Settings.MustAsk, log)
+	discovery := protocol.NewDiscovery(loop, c.Discovery, c.Names, c.Settings.MustAsk, c.Settings.AskSpread(), log)
 	notices := protocol.NewNotices(loop, c.Discovery, log)
 	loop.Connect(sender, discovery, notices)
 	listener, err := protocol.Listen(c.Listen, loop, c.Names, c.Settings.Classes, clients, c.Limits.Sockets/keepPart, log)
--- a/internal/protocol/discovery.go
+++ b/internal/protocol/discovery.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"sync"
@@ -32,6 +33,7 @@
 	post  Poster
 	names Names
 	wait  time.Duration
+	rest  time.Duration // left between news and the next question
 	log   *slog.Logger
 	wants chan want
 
@@ -46,13 +48,15 @@
 	since        int64
 }
 
-// NewDiscovery returns a client of discovery whose watches wait so long.
-func NewDiscovery(post Poster, addr string, n Names, mustAsk time.Duration, log *slog.Logger) *Discovery {
+// NewDiscovery returns a client of discovery whose watches wait so long. After news it rests for a time
+// around the one given: a change is told to all senders at one instant, and where these are many, their
+// next questions would come together and keep discovery from all else.
+func NewDiscovery(post Poster, addr string, n Names, mustAsk, rest time.Duration, log *slog.Logger) *Discovery {
 	wait := watchMost
 	if mustAsk > 0 {
 		wait = min(wait, mustAsk)
 	}
-	return &Discovery{post: post, addr: addr, names: n, wait: wait, log: log, wants: make(chan want, 16)}
+	return &Discovery{post: post, addr: addr, names: n, wait: wait, rest: rest, log: log, wants: make(chan want, 16)}
 }
 
 // Watch begins or ends a watch on what is newer than a version.
@@ -78,7 +82,7 @@
 		d.callOff()
 	}
 	d.mu.Unlock()
-	d.wants <- want{watch: true}
+	d.wants <- want{watch: true, since: state.NoVersion}
 }
 
 // begin returns where to ask, and a context that a move ends.
@@ -102,13 +106,14 @@
 		asked := time.Now()
 		news, err := d.get(asking, link, now)
 		moved := asking.Err() != nil
-		end()
 		now.fetch = false
 		if err != nil && moved {
+			end()
 			now.watch = false // what to ask at the new address is among the wants
 			continue
 		}
 		if err != nil {
+			end()
 			d.log.Info("discovery failed", "err", err)
 			now.watch = false
 			d.post.Post(state.News{Form: control.ListFailed})
@@ -116,10 +121,13 @@
 		}
 		now.since = news.Version
 		d.post.Post(news)
-		if len(news.Targets) == 0 && time.Since(asked) < quickAnswer {
+		if d.rest > 0 && len(news.Targets) > 0 {
+			pause(asking, time.Now().Add(d.rest/2+rand.N(d.rest)))
+		} else if len(news.Targets) == 0 && time.Since(asked) < quickAnswer {
 			// A watch that does not wait must not become a storm of questions.
-			pause(ctx, time.Now().Add(quickAnswer))
+			pause(asking, time.Now().Add(quickAnswer))
 		}
+		end()
 	}
 }
 
@@ -164,7 +172,7 @@
 // get asks once. A first watch without a version is the whole list.
 func (d *Discovery) get(ctx context.Context, link *dialog, w want) (state.News, error) {
 	path, limit := listPath, time.Now().Add(listSpan)
-	if !w.fetch && w.since > 0 {
+	if !w.fetch && w.since != state.NoVersion {
 		path += "?since=" + strconv.FormatInt(w.since, 10) + "&timeout_ms=" + strconv.FormatInt(d.wait.Milliseconds(), 10)
 		limit = limit.Add(d.wait)
 	}
--- a/internal/protocol/socket_test.go
+++ b/internal/protocol/socket_test.go
@@ -448,7 +448,7 @@
 		return fmt.Sprintf("HTTP/1.1 200 x\r\nContent-Length: %d\r\n\r\n%s", len(list), list)
 	})
 	p := newPosts()
-	d := NewDiscovery(p, addr, testNames, time.Second, quiet)
+	d := NewDiscovery(p, addr, testNames, time.Second, 0, quiet)
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
 	go d.Run(ctx)
@@ -464,6 +464,44 @@
 	}
 }
 
+// A list that has not changed yet has version zero: what is asked for then is what has changed since. Only
+// where no version is known the whole list is asked for. After news a large fleet's sender rests.
+func TestWatchFromVersionZero(t *testing.T) {
+	type ask struct {
+		path string
+		at   time.Time
+	}
+	asked := make(chan ask, 8)
+	addr := socktest.Serve(t, func(_ int, r *http.Request, _ string) string {
+		asked <- ask{r.URL.RawQuery, time.Now()}
+		const list = `{"version":0,"full":true,"servers":[{"id":"a","state":"up"}]}`
+		return fmt.Sprintf("HTTP/1.1 200 x\r\nContent-Length: %d\r\n\r\n%s", len(list), list)
+	})
+	const rest = 100 * time.Millisecond
+	for _, c := range []struct {
+		since       int64
+		first, then string
+	}{{0, "since=0&timeout_ms=1000", "since=0&timeout_ms=1000"}, {state.NoVersion, "", "since=0&timeout_ms=1000"}} {
+		ctx, cancel := context.WithCancel(t.Context())
+		d := NewDiscovery(newPosts(), addr, testNames, time.Second, rest, quiet)
+		ended := make(chan struct{})
+		go func() { defer close(ended); d.Run(ctx) }()
+		d.Watch(true, c.since)
+		a, b := <-asked, <-asked
+		if a.path != c.first || b.path != c.then {
+			t.Errorf("since %d: asked %q, then %q", c.since, a.path, b.path)
+		}
+		if gap := b.at.Sub(a.at); gap < rest/2 {
+			t.Errorf("asked again %v after news, wanted a rest of %v at least", gap, rest/2)
+		}
+		cancel()
+		<-ended
+		for len(asked) > 0 {
+			<-asked
+		}
+	}
+}
+
 // Notices go out in order and again until 204; one that can't be read is left out.
 func TestNotices(t *testing.T) {
 	var got []string
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -34,6 +34,10 @@
 	control.Endpoint
 }
 
+// NoVersion stands where no version of the list is known. Zero won't do: it is a version, that of a list
+// which has not changed yet.
+const NoVersion = -1
+
 // News is one answer of discovery. Its targets are not numbered yet.
 type News struct {
 	Form    control.ListNews
--- a/internal/state/table.go
+++ b/internal/state/table.go
@@ -176,7 +176,7 @@
 const goneSpan = 2 * time.Minute
 
 func newGroup() *group {
-	return &group{byID: map[string]*Target{}, byNum: map[control.EndpointID]*Target{}, served: map[int]bool{}, left: map[string]time.Time{}, next: 1}
+	return &group{byID: map[string]*Target{}, byNum: map[control.EndpointID]*Target{}, served: map[int]bool{}, left: map[string]time.Time{}, next: 1, version: NoVersion}
 }
 
 // serves tells whether a destination has or had a target; as long as none is
