Tell refusals above a limit to all siblings, who cut their parts of it together

Each sender hears of it by a refusal of its own, with a call or less a second. It then fell to a floor of 0.4 of its part (control.go: share, pace), in sum above the lowered limit, where no call was served for 9 s, and rose by 6 even parts at the next served call. Change: a sender of a large fleet starts at two even parts, keeps to 0.7 of its part at a refusal, its own or one that a note tells, and regains half a part a second. A note (7 bytes: version, name, what, age) goes out only for a refusal that no earlier one explains, makes a sender more careful and nothing else. One that hears no note falls to the least part. internal/note has the codec, protocol/peers.go the socket, wired in the sender, the adapter and the laboratory. Off where limits.peers is false or peer_listen can't be bound.

--- a/cmd/drill/host.go
+++ b/cmd/drill/host.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"cleathold/control"
+	"cleathold/internal/note"
 	"cleathold/internal/wire"
 )
 
@@ -123,6 +124,11 @@
 		c.Woken(h.now, e.Nonce)
 	case wire.Pong:
 		c.Probed(h.now, control.EndpointID(e.Endpoint), resultOf(e.Code), wire.Duration(e.TookMs), e.Feedback)
+	case wire.Memo:
+		facts, _ := note.Decode(e.Blob) // one that can't be read is as good as lost
+		for _, f := range facts {
+			c.Heard(h.now, control.Note{Endpoint: control.EndpointID(f.Name), What: f.What, Ago: f.Ago})
+		}
 	}
 }
 
@@ -266,4 +272,8 @@
 	a.reply.Arm(a.who, wire.Millis(after), token)
 }
 
+func (a *actions) Tell(n control.Note) {
+	a.reply.Say(a.who, note.Encode([]note.Fact{{Name: uint32(n.Endpoint), What: n.What, Ago: n.Ago}}))
+}
+
 func (a *actions) Log(text string) { a.reply.JournalLine(a.who, text) }
--- a/control/control.go
+++ b/control/control.go
@@ -28,6 +28,13 @@
 	shareDown    = 0.65                   // a refusal takes the share of a limit down to this part
 	shareRise    = 0.08                   // and each second with served calls adds so much again
 	leastPart    = 0.4                    // but it leaves so much of this instance's part
+	evenStart    = 2.0                    // even parts of a limit that one of many siblings starts with...
+	evenRise     = 0.5                    // ...gains each second...
+	evenMost     = 4.0                    // ...and has at most
+	evenCut      = 0.7                    // a refusal, its own or a sibling's, takes its share to this part...
+	evenOver     = 1.5                    // ...of so many even parts at most
+	evenLeast    = 0.02                   // but leaves so much of one
+	evenDepth    = 6.0                    // calls that may come together after a pause
 	leastShare   = 0.01                   // with reports the share grows from here
 	roomLeft     = 0.5                    // a refusal with less of a limit left is no outage
 	shareUp      = 0.1                    // an answer with all the allowance left raises it by this part
@@ -138,30 +145,6 @@
 	c.wake(d)
 }
 
-// Started tells that the streamed answer to an attempt has begun; from then on it belongs to the client.
-func (c *Controller) Started(now time.Duration, id MessageID) {
-	c.clock(now)
-	if m := c.messages[id]; m != nil {
-		m.live = true
-	}
-}
-
-// Gone tells that nobody wants a message any more.
-func (c *Controller) Gone(now time.Duration, id MessageID) {
-	c.clock(now)
-	if m := c.messages[id]; m != nil {
-		c.close(m)
-	}
-}
-
-// Woken answers an earlier Wake.
-func (c *Controller) Woken(now time.Duration, token uint32) {
-	c.clock(now)
-	if token == c.token {
-		c.armed = 0
-	}
-}
-
 // Done takes the outcome of an attempt.
 func (c *Controller) Done(now time.Duration, o Outcome) {
 	c.clock(now)
@@ -275,15 +258,6 @@
 	d.answered = now
 }
 
-// learn moves T_m towards the time of the latest call.
-func (p *callTime) learn(took time.Duration) {
-	if p.tm == 0 {
-		p.tm, p.dev = took, took/2
-	}
-	p.dev = ewma(p.dev, max(took-p.tm, p.tm-took))
-	p.tm = ewma(p.tm, took)
-}
-
 // expect gives a destination that has not answered yet the call time of all: one of many sees little of each.
 func (c *Controller) expect(d *dest) {
 	if d.answers == 0 {
@@ -399,20 +373,6 @@
 	return min(c.set.Cold, time.Duration(float64(time.Second)/max(rate, 0.01)))
 }
 
-// ewma is the exponentially weighted moving average of the paper.
-func ewma(old, latest time.Duration) time.Duration {
-	if old == 0 {
-		return latest
-	}
-	return time.Duration(alpha*float64(latest) + (1-alpha)*float64(old))
-}
-
-// count follows the rate of the traffic for the destination.
-func (d *dest) count(now time.Duration) {
-	d.rate = d.rate*math.Exp(-float64(now-d.rateAt)/float64(rateSpan)) + 1
-	d.rateAt = now
-}
-
 // report takes what an endpoint told of its limit.
 func (c *Controller) report(e *endpoint, load []float32) {
 	if i := c.set.ReportLimit; i >= 0 && i < len(load) {
@@ -484,6 +444,9 @@
 		whole = e.Weight
 	}
 	if !rt.warming {
+		if c.even() {
+			return whole * rt.share
+		}
 		return max(whole*rt.share, min(whole, c.part(e)*leastPart))
 	}
 	f := c.set.ColdFrom
@@ -504,18 +467,58 @@
 	if whole <= 0 {
 		return max(own, 1/float64(c.set.Siblings))
 	}
+	if c.even() {
+		return whole / float64(c.set.Siblings)
+	}
 	return (min(own, whole) + whole/float64(c.set.Siblings)) / 2
 }
 
+// even tells that this instance shares limits by even parts, in one movement with many siblings who tell one
+// another of refusals. A few learn their shares alone.
+func (c *Controller) even() bool { return c.set.CanTell && c.set.Siblings >= crowdFleet }
+
+// cut takes a share of a limit down after a refusal, a sibling's too: what all send in sum was too much, and
+// where refused calls use the limit up, all are refused until the sum is below it. One whose own refusals are
+// all that it hears of is cut off from its siblings, and makes room for the calls that it does not hear of.
+func (c *Controller) cut(rt *route) {
+	part := 1 / float64(c.set.Siblings)
+	rt.share = max(evenCut*min(rt.share, evenOver*part), evenLeast*part)
+	if c.unheard >= streak {
+		rt.share = evenLeast * part
+	}
+	rt.cutAt = c.now
+	rt.tokens, rt.filled = c.rng.Float64(), max(c.now, rt.wait) // not all siblings at one instant
+}
+
+// Heard takes a note from a sibling. It makes this instance more careful, or nothing of it.
+func (c *Controller) Heard(now time.Duration, n Note) {
+	c.clock(now)
+	e := c.endpoints[n.Endpoint]
+	if e == nil || !c.even() {
+		return
+	}
+	c.unheard = 0
+	if rt := e.route; n.What == SawRefusal && !rt.warming && now-n.Ago >= rt.cutAt {
+		c.cut(rt)
+	}
+}
+
 // refill fills the token bucket of a route, and ends its slow start.
 func (c *Controller) refill(e *endpoint) {
 	rt := e.route
 	if rt.warming && c.now >= rt.backAt+c.set.Cold {
 		rt.warming = false
 	}
+	if from := max(rt.grownAt, rt.cutAt, rt.wait); c.even() && !rt.warming && c.now > from {
+		grown := (c.now - from).Seconds() * evenRise
+		rt.share, rt.grownAt = min(evenMost/float64(c.set.Siblings), rt.share+grown/float64(c.set.Siblings)), c.now
+	}
 	p, depth := c.pace(e), 1.0
 	if !rt.warming {
 		depth = max(1, p*burst.Seconds())
+		if c.even() {
+			depth = evenDepth // one of many sees its messages in clumps
+		}
 	}
 	if c.now > rt.filled {
 		rt.tokens = min(depth, rt.tokens+p*(c.now-rt.filled).Seconds())
@@ -523,11 +526,6 @@
 	}
 }
 
-// idleness sorts idle times of a connection by doublings from briefIdle.
-func idleness(idle time.Duration) int {
-	return min(idleBands-1, max(0, int(math.Log2(float64(idle)/float64(briefIdle)))+1))
-}
-
 // reuse learns how calls fare on connections by the time these lay idle.
 func (c *Controller) reuse(a *attempt, r Result) {
 	if r == TimedOut || r == Broken {
@@ -593,13 +591,19 @@
 func (c *Controller) share(a *attempt, r Result, load []float32) {
 	rt, fleet := a.endpoint.route, float64(c.set.Siblings)/2
 	if r == Full && !rt.warming {
-		if a.sent >= rt.cutAt {
+		if a.sent >= rt.cutAt && c.even() {
+			c.cut(rt)
+			c.act.Tell(Note{a.endpoint.ID, SawRefusal, c.now - a.sent})
+			c.unheard++
+		} else if a.sent >= rt.cutAt {
 			rt.share *= math.Pow(shareDown, fleet)
 			rt.cutAt = c.now
 		}
-		rt.tokens, rt.filled = c.rng.Float64()-0.5, max(c.now, rt.wait) // not all siblings at one instant
+		if !c.even() {
+			rt.tokens, rt.filled = c.rng.Float64()-0.5, max(c.now, rt.wait) // not all siblings at one instant
+		}
 	}
-	if r == Served {
+	if r == Served && !c.even() {
 		grown := min(c.now-rt.grownAt, time.Second).Seconds() * shareRise
 		rt.share, rt.grownAt = min(1, rt.share+grown), c.now
 	}
@@ -739,15 +743,6 @@
 	return min(c.set.MaxAdvice, max(least, soonest-c.now))
 }
 
-// clock takes the time. A wake that comes late tells of a standstill of this instance: all that came
-// meanwhile is seen at this one instant, and call times hold the standstill too.
-func (c *Controller) clock(now time.Duration) {
-	if now > c.now && c.armed > 0 && now > c.armed+pulse/2 {
-		c.resumed = now
-	}
-	c.now = now
-}
-
 // Decide acts on what the events of an instant have changed, once all are in. After a standstill of this
 // instance they come together: judged one by one, calls would seem overdue whose answers are next in line.
 func (c *Controller) Decide(now time.Duration) {
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"bufio"
+	"math/rand/v2"
 	"os"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -459,6 +461,78 @@
 	}
 }
 
+// What 80 senders send in sum stays below a limit that is lowered to a sixth, where refused calls use it up: one
+// refusal told to all slows all at once. With half of the notes lost it takes longer, and without any each slows
+// by what it learns alone. A note never makes a sender send more.
+func TestManySendersKeepALimitTogether(t *testing.T) {
+	const senders, step, whole, low = 80, 20 * ms, 80.0, 13.0
+	for _, c := range []struct {
+		name   string
+		lost   float64
+		served int // in 9 s of the lowered limit, at least
+		turned int // in the same time, at most
+	}{{"all arrive", 0, 60, 100}, {"half lost", 0.5, 25, 150}, {"none arrives", 1, 5, 500}} {
+		rng := rand.New(rand.NewPCG(7, 7))
+		fleet := make([]*recorder, senders)
+		for i := range fleet {
+			set := settings()
+			set.Siblings, set.CanTell, set.Weights, set.Seed = senders, true, RoughWeights, uint64(i)
+			set.ReportShare, set.ReportLimit = -1, -1
+			fleet[i] = newRecorder(t, set)
+			fleet[i].lists(ListFull, Endpoint{ID: 1, State: Ready, Weight: whole})
+		}
+		room, id, served, turned := 0.0, MessageID(0), 0, 0
+		for now := time.Duration(0); now < 15*time.Second; now += step {
+			limit := whole
+			if now >= 3*time.Second && now < 12*time.Second {
+				limit = low
+			}
+			room = min(room+limit*step.Seconds(), limit/5)
+			for i, r := range fleet {
+				if rng.Float64() < 0.8*whole/senders*step.Seconds() {
+					id++
+					r.arrive(id, 0, 0)
+				}
+				for _, m := range slices.Clone(r.arrivals) {
+					if !r.msgs[m].out {
+						continue
+					}
+					if room--; room < 0 { // a refused call uses the limit up, too
+						room = max(room, -limit/5)
+						r.answer(m, Full, 0)
+					} else {
+						r.answer(m, Served, 0)
+					}
+					if limit == low && room < 0 {
+						turned++
+					} else if limit == low {
+						served++
+					}
+				}
+				for _, n := range r.told {
+					for j, other := range fleet {
+						if j != i && rng.Float64() >= c.lost {
+							share := other.c.dest(0).shared.share
+							other.c.Heard(other.now, n)
+							if after := other.c.dest(0).shared.share; after > share {
+								t.Fatalf("%s: a note raised a share from %v to %v", c.name, share, after)
+							}
+						}
+					}
+				}
+				r.told = nil
+			}
+			for _, r := range fleet {
+				r.pass(step)
+			}
+		}
+		if served < c.served || turned > c.turned {
+			t.Errorf("%s: %d served and %d refused while the limit was low, want %d and %d", c.name, served, turned, c.served, c.turned)
+		}
+		t.Logf("%s: %d served, %d refused", c.name, served, turned)
+	}
+}
+
 // Sends of one instant to one endpoint share a call: one slot until all are answered.
 func TestBatchSharesSlot(t *testing.T) {
 	set := settings()
--- a/control/example_test.go
+++ b/control/example_test.go
@@ -21,6 +21,7 @@
 func (printer) Watch(bool)                                   {}
 func (printer) Fetch()                                       {}
 func (printer) Wake(time.Duration, uint32)                   {}
+func (printer) Tell(control.Note)                            {}
 func (printer) Log(string)                                   {}
 
 // A host owns the calls and the clock; the controller decides.
--- a/control/recorder_test.go
+++ b/control/recorder_test.go
@@ -39,6 +39,7 @@
 	wakes    []wake
 	watches  int
 	closed   []EndpointID
+	told     []Note
 }
 
 type wake struct {
@@ -206,6 +207,7 @@
 	r.wakes = append(r.wakes, wake{r.now + after, token})
 }
 
+func (r *recorder) Tell(n Note)     { r.told = append(r.told, n) }
 func (r *recorder) Log(text string) { r.log("log %s", text) }
 
 // lists tells of endpoints.
--- a/control/state.go
+++ b/control/state.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"sort"
@@ -202,6 +203,7 @@
 	asking    bool
 	askAt     time.Duration
 	askFailed int // asks in a row
+	unheard   int // refusals of its own since a sibling was last heard of
 }
 
 // New returns a controller for one instance, or an error that names the
@@ -219,7 +221,11 @@
 
 // newRoute returns a route on which nothing is known yet.
 func (c *Controller) newRoute() *route {
-	return &route{share: 1, tokens: 1, filled: c.now}
+	r := &route{share: 1, tokens: 1, filled: c.now}
+	if c.even() {
+		r.share, r.tokens = evenStart/float64(c.set.Siblings), evenStart
+	}
+	return r
 }
 
 // age is the time since the message was first handed in, wherever that was.
@@ -350,3 +356,64 @@
 		e.dest.out--
 	}
 }
+
+// ewma is the exponentially weighted moving average of the paper.
+func ewma(old, latest time.Duration) time.Duration {
+	if old == 0 {
+		return latest
+	}
+	return time.Duration(alpha*float64(latest) + (1-alpha)*float64(old))
+}
+
+// count follows the rate of the traffic for the destination.
+func (d *dest) count(now time.Duration) {
+	d.rate = d.rate*math.Exp(-float64(now-d.rateAt)/float64(rateSpan)) + 1
+	d.rateAt = now
+}
+
+// learn moves T_m towards the time of the latest call.
+func (p *callTime) learn(took time.Duration) {
+	if p.tm == 0 {
+		p.tm, p.dev = took, took/2
+	}
+	p.dev = ewma(p.dev, max(took-p.tm, p.tm-took))
+	p.tm = ewma(p.tm, took)
+}
+
+// clock takes the time. A wake that comes late tells of a standstill of this instance: all that came
+// meanwhile is seen at this one instant, and call times hold the standstill too.
+func (c *Controller) clock(now time.Duration) {
+	if now > c.now && c.armed > 0 && now > c.armed+pulse/2 {
+		c.resumed = now
+	}
+	c.now = now
+}
+
+// Started tells that the streamed answer to an attempt has begun; from then on it belongs to the client.
+func (c *Controller) Started(now time.Duration, id MessageID) {
+	c.clock(now)
+	if m := c.messages[id]; m != nil {
+		m.live = true
+	}
+}
+
+// Gone tells that nobody wants a message any more.
+func (c *Controller) Gone(now time.Duration, id MessageID) {
+	c.clock(now)
+	if m := c.messages[id]; m != nil {
+		c.close(m)
+	}
+}
+
+// Woken answers an earlier Wake.
+func (c *Controller) Woken(now time.Duration, token uint32) {
+	c.clock(now)
+	if token == c.token {
+		c.armed = 0
+	}
+}
+
+// idleness sorts idle times of a connection by doublings from briefIdle.
+func idleness(idle time.Duration) int {
+	return min(idleBands-1, max(0, int(math.Log2(float64(idle)/float64(briefIdle)))+1))
+}
--- a/control/types.go
+++ b/control/types.go
@@ -72,6 +72,7 @@
 	SecondCopies   bool    // two attempts for one message may be out at once
 	CanCancel      bool
 	CanProbe       bool
+	CanTell        bool          // siblings may be told what was seen
 	CanAdvise      bool          // clients receive retry advice
 	MaxAdvice      time.Duration // the longest advice that clients heed
 	StreamsPerConn int           // calls one connection carries at once
@@ -182,6 +183,26 @@
 	Load     []float32     // the destination's report, if any
 }
 
+// Seen is what one sender tells others that it saw of an endpoint.
+type Seen uint8
+
+// What can be told.
+const (
+	SawNothing Seen = iota
+	SawRefusal      // a call was refused above a limit
+	seenMost
+)
+
+// Known reports whether this version knows what is told.
+func (s Seen) Known() bool { return s > SawNothing && s < seenMost }
+
+// A Note is one thing seen of an endpoint. It proves nothing of any message.
+type Note struct {
+	Endpoint EndpointID
+	What     Seen
+	Ago      time.Duration // since the call that showed it was sent
+}
+
 // Actions is what a controller asks of its host. The host carries the calls
 // out in the order they are made and never calls back into the controller.
 type Actions interface {
@@ -201,6 +222,8 @@
 	Watch(on bool)
 	// Fetch asks for the whole endpoint list once.
 	Fetch()
+	// Tell tells all siblings what was seen. It may be lost, and comes late.
+	Tell(n Note)
 	// Wake asks for a Woken event after a while.
 	Wake(after time.Duration, token uint32)
 	// Log adds a line to the host's log.
--- a/internal/lab/profile.go
+++ b/internal/lab/profile.go
@@ -53,7 +53,7 @@
 		"specifics": object{"fades": "even", "kind-batch": batch, "separate-routes": apart, "max-calls": slots},
 		"limits": object{
 			"cancel": true, "conn-idle-ms": wire.Millis(idleSpan), "connect-timeout-ms": 1500.0, "max-retry-after-ms": 3000.0, "open-cap": hold,
-			"peers": false, "probes": true, "retry-after": true, "second-copies": true, "send-cap": 12, "streams-per-conn": 1,
+			"peers": true, "probes": true, "retry-after": true, "second-copies": true, "send-cap": 12, "streams-per-conn": 1,
 		},
 		"guarantees": object{
 			"answer-slack-ms": 20.0, "cold-from": 0.22, "cold-ms": 13000.0, "drain-grace-ms": 2000.0, "fall-ms": 2000.0, "fall-multiple": 2.0,
--- a/internal/lab/sender.go
+++ b/internal/lab/sender.go
@@ -8,6 +8,7 @@
 
 	"cleathold/control"
 	"cleathold/internal/audit"
+	"cleathold/internal/note"
 	"cleathold/internal/partner"
 	"cleathold/internal/state"
 )
@@ -60,6 +61,7 @@
 		return nil, err
 	}
 	loop.Connect(x, x, x)
+	loop.ConnectPeers(teller{x})
 	x.loop = loop
 	s.at(s.now, func() { x.step() })
 	return x, nil
@@ -538,6 +540,31 @@
 	}
 }
 
+// A teller carries notes to the other senders: each arrives late, or not at all.
+type teller struct{ *sender }
+
+// noteFrom and noteTo are how long a note takes.
+const noteFrom, noteTo = 1300 * time.Microsecond, 8700 * time.Microsecond
+
+func (t teller) Tell(facts []note.Fact) {
+	s := t.sim
+	sent := note.Encode(facts)
+	for _, x := range s.senders {
+		if x == t.sender {
+			continue
+		}
+		s.result.Notes++
+		if s.rng.Float64() < s.plan.Scenario.NotesLost {
+			continue
+		}
+		s.at(s.now+noteFrom+time.Duration(s.rng.Int64N(int64(noteTo-noteFrom))), func() {
+			if facts, err := note.Decode(sent); err == nil && !x.dead {
+				x.step(state.Heard{Sender: t.num, Facts: facts})
+			}
+		})
+	}
+}
+
 // Tell takes a notice; the client hears of it, and may come again.
 func (x *sender) Tell(n state.Notice) {
 	s := x.sim
--- a/internal/lab/sim.go
+++ b/internal/lab/sim.go
@@ -46,6 +46,7 @@
 	Conns    int           `json:"connections"`
 	Falls    int           `json:"falls"`
 	Restarts int           `json:"restarts"`
+	Notes    int           `json:"notes"` // between senders, one for each receiver
 	Counts   audit.Counts  `json:"counts"`
 	Breaks   []audit.Break `json:"breaks,omitempty"`
 	Events   int           `json:"events"` // of the simulation
--- a/internal/lifecycle/config.go
+++ b/internal/lifecycle/config.go
@@ -20,6 +20,8 @@
 // Config is what a sender is told.
 type Config struct {
 	Name, Listen, Discovery, State string
+	PeerListen, PeersAll           string   // where notes between senders come in, and what reaches all
+	Peers                          []string // where those of the others come from, by their numbers
 	Limits                         Limits
 	Settings                       control.Settings
 	Names                          protocol.Names
@@ -86,6 +88,10 @@
 	if err := c.parseSettings(doc.Get("settings"), doc.Get("seed").String()); err != nil {
 		return c, err
 	}
+	c.PeerListen, c.PeersAll = doc.Get("peer_listen").String(), doc.Get("peers_all").String()
+	for _, p := range doc.Get("peers").Array() {
+		c.Peers = append(c.Peers, p.String())
+	}
 	c.Known.Version = state.NoVersion
 	if known := doc.Get("known"); known.Exists() {
 		if c.Known, err = protocol.ParseList([]byte(known.Raw), c.Names); err != nil {
--- a/internal/lifecycle/serve.go
+++ b/internal/lifecycle/serve.go
@@ -68,6 +68,8 @@
 	if keeper != nil {
 		setup.Keeper = keeper
 	}
+	peers := openPeers(c, log)
+	setup.Settings.CanTell = peers != nil
 	loop, err := state.NewLoop(setup)
 	if err != nil {
 		return err
@@ -77,6 +79,9 @@
 	discovery := protocol.NewDiscovery(loop, c.Discovery, c.Names, c.Settings.MustAsk, c.Settings.AskSpread(), log)
 	notices := protocol.NewNotices(loop, c.Discovery, log)
 	loop.Connect(sender, discovery, notices)
+	if peers != nil {
+		loop.ConnectPeers(peers)
+	}
 	listener, err := protocol.Listen(c.Listen, loop, c.Names, c.Settings.Classes, clients, c.Limits.Sockets/keepPart, log)
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
@@ -102,6 +107,9 @@
 	for _, run := range []func(context.Context){loop.Run, sender.Run, discovery.Run, notices.Run} {
 		wg.Go(func() { run(ctx) })
 	}
+	if peers != nil {
+		wg.Go(func() { peers.Run(ctx, loop) })
+	}
 	wg.Go(listener.Serve)
 	log.Info("serving", "name", c.Name, "listen", listener.Addr().String())
 	for serving := true; serving; {
@@ -131,6 +139,19 @@
 	return nil
 }
 
+// openPeers opens the way to the other senders where there is one. Without it the sender serves all the same.
+func openPeers(c Config, log *slog.Logger) *protocol.Peers {
+	if !c.Settings.CanTell || c.PeerListen == "" || c.PeersAll == "" {
+		return nil
+	}
+	peers, err := protocol.OpenPeers(c.PeerListen, c.PeersAll, c.Peers, c.Settings.Index, log)
+	if err != nil {
+		log.Error("no notes between senders: see peer_listen, peers and peers_all", "err", err)
+		return nil
+	}
+	return peers
+}
+
 // A mover can turn to another address.
 type mover interface{ Move(addr string) }
 
--- a/internal/scenario/load.go
+++ b/internal/scenario/load.go
@@ -206,6 +206,9 @@
 	a.count("senders", &s.Senders)
 	a.between("slots", &s.Slots)
 	a.between("hold", &s.Hold)
+	if a.number("notes_lost", &s.NotesLost); s.NotesLost < 0 || s.NotesLost > 1 {
+		a.fail("notes_lost", "a part from 0 to 1", starlark.Float(s.NotesLost))
+	}
 	if v, ok := a.take("zones"); ok {
 		list, isList := v.(*starlark.List)
 		if !isList {
--- a/internal/scenario/scenario.go
+++ b/internal/scenario/scenario.go
@@ -33,6 +33,8 @@
 	Blind    []Blind
 	Slots    Range // a sender's slots, as a multiple of what its part of the load keeps busy
 	Hold     Range // seconds of its load that a sender may hold
+
+	NotesLost float64 // part of the notes between senders that never arrive
 }
 
 // Kind describes a kind of destination. Ranges are drawn for each destination.
--- a/internal/state/loop.go
+++ b/internal/state/loop.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"cleathold/control"
+	"cleathold/internal/note"
 	"cleathold/internal/store"
 )
 
@@ -39,6 +40,8 @@
 	list     Directory
 	notifier Notifier
 	keeper   Keeper
+	teller   Teller
+	tidings  []note.Fact // to be told to the other senders at the end of the round
 
 	events chan any
 	clock  func() time.Time
@@ -97,6 +100,9 @@
 	l.carrier, l.list, l.notifier = c, d, n
 }
 
+// ConnectPeers names the one who tells the other senders; before Run. Without one nothing is told.
+func (l *Loop) ConnectPeers(t Teller) { l.teller = t }
+
 // Post hands an event to the loop. It blocks while the queue is full, as its
 // callers are goroutines of their own.
 func (l *Loop) Post(event any) {
@@ -255,6 +261,8 @@
 		l.stored(e)
 	case Probed:
 		l.ctl.Probed(l.since(), e.Target, e.Result, e.Took, nil)
+	case Heard:
+		l.heard(e)
 	case Acknowledged:
 		l.acknowledged(e)
 	case uint32:
@@ -304,6 +312,10 @@
 	for _, c := range l.ready {
 		l.launch(c)
 	}
+	if len(l.tidings) > 0 {
+		l.teller.Tell(l.tidings)
+		l.tidings = l.tidings[:0]
+	}
 	l.fresh, l.ready = nil, wait
 	if l.journal.dirty {
 		return // what is to be told is not known for good yet: in a later round
--- a/internal/state/route.go
+++ b/internal/state/route.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"cleathold/control"
+	"cleathold/internal/note"
 )
 
 // Route: the third stage. The controller says what goes where; its sends of a
@@ -179,4 +180,20 @@
 	}
 }
 
+// Tell puts a note among those of this round.
+func (a *actions) Tell(n control.Note) {
+	if t := a.group.byNum[n.Endpoint]; t != nil && a.teller != nil && len(a.tidings) < note.Most {
+		a.tidings = append(a.tidings, note.Fact{Name: note.Name(t.ID), What: n.What, Ago: n.Ago})
+	}
+}
+
+// heard passes on what another sender tells of targets that this one knows.
+func (l *Loop) heard(h Heard) {
+	for _, f := range h.Facts {
+		if num, known := l.group.names[f.Name]; known {
+			l.ctl.Heard(l.since(), control.Note{Endpoint: num, What: f.What, Ago: f.Ago})
+		}
+	}
+}
+
 func (a *actions) Log(text string) { a.log.Info(text) }
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"cleathold/control"
+	"cleathold/internal/note"
 )
 
 // MaxBody is the most that one message, or one call of several, may hold.
@@ -127,6 +128,11 @@
 	Tell(n Notice)
 }
 
+// Teller tells the other senders of the tier. It never blocks.
+type Teller interface {
+	Tell(facts []note.Fact)
+}
+
 // The events that others post to the loop.
 type (
 	// Handed is a message that a listener has read; the verdict goes to its client.
@@ -134,6 +140,11 @@
 		Message *Message
 		Verdict chan<- Verdict // takes one without blocking
 	}
+	// Heard is a note from another sender, by its number.
+	Heard struct {
+		Sender int
+		Facts  []note.Fact
+	}
 	// Answered tells that the verdict "taken" was written to the client, or could not be.
 	Answered struct {
 		ID string
--- a/internal/state/table.go
+++ b/internal/state/table.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"cleathold/control"
+	"cleathold/internal/note"
 )
 
 // An entry is one message of the table, until its end is known to whoever is owed it.
@@ -164,6 +165,7 @@
 type group struct {
 	byID    map[string]*Target
 	byNum   map[control.EndpointID]*Target
+	names   map[uint32]control.EndpointID // by the names that notes use
 	version int64
 	next    control.EndpointID
 	served  map[int]bool         // destinations that have or had a target
@@ -176,7 +178,7 @@
 const goneSpan = 2 * time.Minute
 
 func newGroup() *group {
-	return &group{byID: map[string]*Target{}, byNum: map[control.EndpointID]*Target{}, served: map[int]bool{}, left: map[string]time.Time{}, next: 1, version: NoVersion}
+	return &group{byID: map[string]*Target{}, byNum: map[control.EndpointID]*Target{}, names: map[uint32]control.EndpointID{}, served: map[int]bool{}, left: map[string]time.Time{}, next: 1, version: NoVersion}
 }
 
 // serves tells whether a destination has or had a target; as long as none is
@@ -209,6 +211,7 @@
 			known.Endpoint.ID = g.next
 			g.next++
 			g.byID[t.ID], g.byNum[known.Endpoint.ID] = known, known
+			g.names[note.Name(t.ID)] = known.Endpoint.ID
 			known.Destination = t.Destination
 			g.served[t.Destination] = true
 		}
@@ -239,7 +242,11 @@
 			continue
 		}
 		delete(g.left, id)
-		delete(g.byNum, g.byID[id].Endpoint.ID)
+		num := g.byID[id].Endpoint.ID
+		delete(g.byNum, num)
+		if name := note.Name(id); g.names[name] == num {
+			delete(g.names, name)
+		}
 		delete(g.byID, id)
 	}
 }
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -53,6 +53,7 @@
 		ConnectMs    float64 `json:"connect-timeout-ms"`
 		MaxAdviceMs  float64 `json:"max-retry-after-ms"`
 		OpenCap      int     `json:"open-cap"`
+		Peers        bool    `json:"peers"`
 		Probes       bool    `json:"probes"`
 		RetryAfter   bool    `json:"retry-after"`
 		SecondCopies bool    `json:"second-copies"`
@@ -87,7 +88,7 @@
 		OverShareWorth: orElse(p.OverShareWorth, 1), HalvingWorth: p.Specifics.Fades == "by_half",
 		WorthByWork: p.WorthBy == "work", Slots: p.Specifics.MaxCalls, HoldCap: p.Limits.OpenCap,
 		SendCap: p.Limits.SendCap, SecondCopies: p.Limits.SecondCopies, CanCancel: p.Limits.Cancel,
-		CanProbe: p.Limits.Probes, CanAdvise: p.Limits.RetryAfter, MaxAdvice: Duration(p.Limits.MaxAdviceMs),
+		CanProbe: p.Limits.Probes, CanTell: p.Limits.Peers, CanAdvise: p.Limits.RetryAfter, MaxAdvice: Duration(p.Limits.MaxAdviceMs),
 		StreamsPerConn: orElse(p.Limits.Streams, 1), ConnIdle: Duration(p.Limits.IdleMs),
 		ConnectTimeout: Duration(p.Limits.ConnectMs), Ask: p.Discovery == "ask", Tick: Duration(p.TickMs),
 		AnswerSlack: Duration(p.Guarantees.SlackMs), MustAsk: Duration(p.Guarantees.MustAskMs),
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -39,6 +39,7 @@
 	actForward       = 9
 	actFail          = 10
 	actWatch         = 11
+	actSay           = 12
 )
 
 // Bits of JobIn.Marks.
@@ -437,6 +438,16 @@
 	r.u32(nonce)
 }
 
+// everyone as the receiver of a Say.
+const everyone = math.MaxUint32
+
+// Say sends a note to all other instances.
+func (r *Reply) Say(who uint16, blob []byte) {
+	r.record(actSay, who)
+	r.u32(everyone)
+	r.text(string(blob))
+}
+
 // JournalLine adds a line to the report.
 func (r *Reply) JournalLine(who uint16, msg string) {
 	r.record(actJournalLine, who)
