Tell a return after an outage to all siblings, who start slowly without own tests

Change: the sender whose test is served after an outage tells it (SawReturn). Siblings that saw failures and no later one, outside a told wait, begin the same slow start without a test. As in sum the whole is known, the start is 1.3 of the sure part; capacity is 1.2 of a limit at least, and the rule allows twice the present capacity.

--- a/control/control.go
+++ b/control/control.go
@@ -34,6 +34,7 @@
 	evenCut      = 0.7                    // a refusal, its own or a sibling's, takes its share to this part...
 	evenOver     = 1.5                    // ...of so many even parts at most
 	evenLeast    = 0.02                   // but leaves so much of one
+	evenCold     = 1.3                    // times its sure part on a cold return: the sum of all is known
 	evenDepth    = 6.0                    // calls that may come together after a pause
 	leastShare   = 0.01                   // with reports the share grows from here
 	roomLeft     = 0.5                    // a refusal with less of a limit left is no outage
@@ -393,10 +394,10 @@
 		// Mere silence that ends in an answer was slowness, and a short streak bad luck or a limit met.
 		// Failures over a while mean an outage, and a cold return; one met on the way back goes on.
 		if rt.bad > 0 && c.now-rt.since >= c.set.FallWindow {
-			if !rt.warming || c.now-rt.since >= c.set.Cold/2 {
-				rt.warming, rt.warmAt, rt.backAt = true, c.now, c.now
+			if c.even() && rt.open {
+				c.act.Tell(Note{e.ID, SawReturn, c.now - sent})
 			}
-			rt.tokens, rt.filled = c.rng.Float64(), c.now // of many siblings each sends little, at a time of its own
+			c.back(rt)
 		}
 		rt.open = false
 		e.bad, rt.bad = 0, 0
@@ -435,6 +436,14 @@
 	}
 }
 
+// back begins the slow start of a route that was out of order.
+func (c *Controller) back(rt *route) {
+	if !rt.warming || c.now-rt.since >= c.set.Cold/2 {
+		rt.warming, rt.warmAt, rt.backAt = true, c.now, c.now
+	}
+	rt.tokens, rt.filled = c.rng.Float64(), c.now // of many siblings each sends little, at a time of its own
+}
+
 // pace is the rate in calls a second that a route is sent; 0 = as they come. A known limit is kept by a
 // token bucket, as each call above it is lost. A warming route gets the part that it can be sure to take.
 func (c *Controller) pace(e *endpoint) float64 {
@@ -453,6 +462,9 @@
 	if c.set.Cold > 0 {
 		f += (1 - f) * float64(c.now-rt.warmAt) / float64(c.set.Cold)
 	}
+	if c.even() {
+		f *= evenCold
+	}
 	return c.part(e) * min(f, 1) * max(1, c.set.FallMultiple/2)
 }
 
@@ -498,8 +510,13 @@
 		return
 	}
 	c.unheard = 0
-	if rt := e.route; n.What == SawRefusal && !rt.warming && now-n.Ago >= rt.cutAt {
+	rt, sent := e.route, now-n.Ago
+	switch {
+	case n.What == SawRefusal && !rt.warming && sent >= rt.cutAt:
 		c.cut(rt)
+	case n.What == SawReturn && rt.bad > 0 && sent > rt.badAt && now >= max(rt.wait, rt.since+c.set.FallWindow):
+		c.back(rt) // spared its own test, it starts as slowly as after one
+		rt.open, e.bad, rt.bad = false, 0, 0
 	}
 }
 
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -866,6 +866,52 @@
 	}
 }
 
+// One sender's test tells all 80 that a partner is back. They are spared their own, and start as slowly as after
+// one, in sum within what a cold partner bears. What was sent before the latest failure proves no return, a told
+// wait stays, and who saw no outage goes on as before.
+func TestReturnIsToldToSiblings(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		bad  int           // failures seen
+		ago  time.Duration // since the served call was sent
+		wait time.Duration // told to this sender
+		back bool
+	}{
+		{"back", 3, 0, 0, true},
+		{"served before the latest failure", 3, 3 * time.Second, 0, false},
+		{"within a told wait", 3, 0, 5 * time.Second, false},
+		{"no outage seen", 0, 0, 0, false},
+	} {
+		sum, set := 0.0, settings()
+		set.Siblings, set.CanTell, set.Weights = 80, true, RoughWeights
+		for i := range set.Siblings {
+			set.Seed = uint64(i)
+			r := newRecorder(t, set)
+			r.lists(ListFull, Endpoint{ID: 1, State: Ready, Weight: 20})
+			for id := MessageID(1); id <= 20 && len(r.told) == 0 && r.c.dest(0).shared.bad < c.bad; id++ {
+				r.arrive(id, 0, 0)
+				r.pass(time.Second)
+				for _, m := range slices.Clone(r.arrivals) {
+					if r.msgs[m].out {
+						r.answer(m, NoConnection, c.wait)
+					}
+				}
+			}
+			rt := r.c.dest(0).shared
+			open := rt.open
+			r.pass(200 * ms)
+			r.c.Heard(r.now, Note{1, SawReturn, c.ago})
+			if back := open && !rt.open && rt.warming; back != c.back {
+				t.Fatalf("%s: open %v, then %v, warming %v", c.name, open, rt.open, rt.warming)
+			}
+			sum += r.c.pace(r.c.endpoints[1])
+		}
+		if budget := 20 * set.ColdFrom * set.FallMultiple; c.back && (sum <= 0 || sum > budget) {
+			t.Errorf("%s: all siblings send %.1f a second, budget %.1f", c.name, sum, budget)
+		}
+	}
+}
+
 // When calls take longer everywhere, one to a destination met long ago is not taken for hung.
 func TestSlownessEverywhereIsNoHang(t *testing.T) {
 	r := newRecorder(t, settings())
--- a/control/types.go
+++ b/control/types.go
@@ -190,6 +190,7 @@
 const (
 	SawNothing Seen = iota
 	SawRefusal      // a call was refused above a limit
+	SawReturn       // a call was served after an outage: it is back, and cold
 	seenMost
 )
 
