Tell a partner that has no room for a connection from one whose limit is met

Of 397 answers 503 or 429 in 12 s 395 had no Retry-After and closed the connection: the endpoint had no room for connections. protocol/relay.go took each for Full, so share() cut every sender's part, and partners with room in their limits got 40 calls a second for 55 to 175 messages. Change: such an answer is Crowded, a result of its own that proves that nothing ran. In a large fleet, while the partner serves, it sets the endpoint aside for half to one and a half calls' time, and neither cuts a share nor counts as an outage. Few siblings take it as before.

--- a/control/control.go
+++ b/control/control.go
@@ -228,6 +228,13 @@
 	}
 	c.reuse(a, o.Result)
 	c.crowding(a.endpoint, o.Result)
+	if o.Result == Crowded {
+		// While it serves others, room comes soon. A few siblings rarely fill a partner that is well.
+		if o.Result = Full; c.even() && !rt.open && c.now-rt.goodAt < c.set.FallWindow {
+			a.endpoint.roomAt = c.now + time.Duration((0.5+c.rng.Float64())*float64(max(d.tm, c.set.Tick)))
+			return
+		}
+	}
 	c.report(a.endpoint, o.Load)
 	if !c.crowded(a.endpoint, o) {
 		c.health(a.endpoint, a.sent, o.Result, o.Wait)
@@ -374,13 +381,6 @@
 	return min(c.set.Cold, time.Duration(float64(time.Second)/max(rate, 0.01)))
 }
 
-// report takes what an endpoint told of its limit.
-func (c *Controller) report(e *endpoint, load []float32) {
-	if i := c.set.ReportLimit; i >= 0 && i < len(load) {
-		e.route.limit, e.route.told = float64(load[i]), true
-	}
-}
-
 // health moves the state of a route on an answer to a call sent at that time.
 func (c *Controller) health(e *endpoint, sent time.Duration, r Result, wait time.Duration) {
 	rt := e.route
@@ -583,7 +583,7 @@
 // and those that siblings hold idle count.
 func (c *Controller) crowding(e *endpoint, r Result) {
 	c.presume(e.Kind)
-	if r == NoConnection && !e.route.open {
+	if (r == NoConnection || r == Crowded && c.even()) && !e.route.open {
 		c.crowd[e.Kind] += crowdWeight
 	}
 	c.crowd[e.Kind] *= 1 - crowdWeight
@@ -682,7 +682,7 @@
 // reachable: drains, told waits and the return of a cold destination.
 func (c *Controller) reachable(e *endpoint) bool {
 	rt := e.route
-	if e.State != Ready || c.now < rt.wait {
+	if e.State != Ready || c.now < max(rt.wait, e.roomAt) {
 		return false
 	}
 	if rt.open {
@@ -976,6 +976,7 @@
 		}
 		for _, e := range d.endpoints {
 			at(e.route.wait)
+			at(e.roomAt)
 			at(e.route.retryAt)
 			if p := c.pace(e); p > 0 {
 				at(c.now + time.Duration((1-e.route.tokens)/p*float64(time.Second)))
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -866,6 +866,37 @@
 	}
 }
 
+// A partner that serves, but has no room for a connection, is tried again within a call's time or so: its limit
+// is not met, nothing is told, and it is not out of order. One that has served nothing lately may be.
+func TestNoRoomForConnectionsIsNoLimit(t *testing.T) {
+	for _, serves := range []bool{true, false} {
+		set := settings()
+		set.Siblings, set.CanTell, set.Weights, set.ReportShare, set.ReportLimit = 80, true, RoughWeights, -1, -1
+		r := newRecorder(t, set)
+		r.lists(ListFull, Endpoint{ID: 1, State: Ready, Weight: 200})
+		if serves {
+			r.arrive(1, 0, 0)
+			r.serve(200*ms, 50*ms)
+		}
+		rt := r.c.dest(0).shared
+		share := rt.share
+		m := r.arrive(2, 0, 0)
+		for range 4 {
+			r.pass(20 * ms)
+			if m.out {
+				r.answer(2, Crowded, 0)
+			}
+			r.pass(80 * ms)
+		}
+		if serves != (!rt.open && rt.share >= share && len(r.told) == 0) {
+			t.Errorf("serves %v: open %v, share %v after %v, told %d", serves, rt.open, rt.share, share, len(r.told))
+		}
+		if serves && m.sends < 3 {
+			t.Errorf("tried %d times in 400 ms", m.sends)
+		}
+	}
+}
+
 // One sender's test tells all 80 that a partner is back. They are spared their own, and start as slowly as after
 // one, in sum within what a cold partner bears. What was sent before the latest failure proves no return, a told
 // wait stays, and who saw no outage goes on as before.
--- a/control/recorder_test.go
+++ b/control/recorder_test.go
@@ -362,7 +362,7 @@
 	}
 	r := newRecorder(t, set)
 	id := MessageID(0)
-	results := []Result{Served, Served, Served, Served, Errored, Full, TimedOut, NoConnection, Broken, Unknown, Moot}
+	results := []Result{Served, Served, Served, Served, Errored, Full, TimedOut, NoConnection, Crowded, Broken, Unknown, Moot}
 	for range 1500 {
 		switch rng.IntN(12) {
 		case 0, 1, 2, 3:
--- a/control/state.go
+++ b/control/state.go
@@ -44,6 +44,7 @@
 	bad    int // answers in a row that served nothing
 	used   time.Duration
 	linked bool          // a connection is thought open
+	roomAt time.Duration // it may have room for a connection again
 	left   time.Duration // when it was last seen to be listed
 	last   *call         // the latest call, which sends of one instant may share
 }
@@ -417,3 +418,10 @@
 func idleness(idle time.Duration) int {
 	return min(idleBands-1, max(0, int(math.Log2(float64(idle)/float64(briefIdle)))+1))
 }
+
+// report takes what an endpoint told of its limit.
+func (c *Controller) report(e *endpoint, load []float32) {
+	if i := c.set.ReportLimit; i >= 0 && i < len(load) {
+		e.route.limit, e.route.told = float64(load[i]), true
+	}
+}
--- a/control/types.go
+++ b/control/types.go
@@ -151,7 +151,7 @@
 // Result says how an attempt or a probe ended.
 type Result uint8
 
-// The results. Only Full, NoConnection, Moot and Rejected prove that the attempt never ran.
+// The results. Only Full, NoConnection, Crowded, Moot and Rejected prove that the attempt never ran.
 const (
 	Unknown      Result = iota // anything else: it may have run
 	Served                     // delivered
@@ -163,11 +163,12 @@
 	Cancelled                  // called off
 	Moot                       // not sent
 	Rejected                   // the destination can't use this message
+	Crowded                    // turned away unseen, for want of room for the connection
 )
 
 // MayHaveRun reports whether an attempt with this result may have taken effect.
 func (r Result) MayHaveRun() bool {
-	return r != Full && r != NoConnection && r != Moot && r != Rejected
+	return r != Full && r != NoConnection && r != Crowded && r != Moot && r != Rejected
 }
 
 // Outcome tells how an attempt ended.
--- a/internal/held/record.go
+++ b/internal/held/record.go
@@ -196,6 +196,7 @@
 	control.Unknown: "unknown", control.Served: "served", control.Errored: "error", control.Full: "refused",
 	control.TimedOut: "timed-out", control.NoConnection: "no-connection", control.Broken: "reset",
 	control.Cancelled: "cancelled", control.Moot: "not-sent", control.Rejected: "rejected",
+	control.Crowded: "no-room",
 }
 
 // attempts turns the loop's history into a record's.
--- a/internal/protocol/relay.go
+++ b/internal/protocol/relay.go
@@ -156,6 +156,11 @@
 	if h.Get("X-Over-Slots") == "1" {
 		e.Result, e.NoSlot = control.Moot, true
 	}
+	// One who turns a call away above a limit keeps the connection for the next. One who closes it has no room
+	// for connections: that is over as soon as another is closed, and says nothing of the limit.
+	if e.Result == control.Full && r.last && e.Wait == 0 {
+		e.Result = control.Crowded
+	}
 	if e.Result == control.Rejected {
 		f.log.Error("target rejects a call", "target", f.call.Target.ID, "status", status, "messages", len(f.call.Forwards))
 	}
--- a/internal/protocol/socket_test.go
+++ b/internal/protocol/socket_test.go
@@ -71,6 +71,8 @@
 		{"error", socktest.Status(500), time.Minute, state.End{Result: control.Errored}},
 		{"wait", socktest.Status(429, "Retry-After: 0.25"), time.Minute, state.End{Result: control.Full, Wait: 250 * time.Millisecond}},
 		{"full", socktest.Status(503), time.Minute, state.End{Result: control.Full}},
+		{"no room for connections", socktest.Status(503, "Connection: close"), time.Minute, state.End{Result: control.Crowded}},
+		{"shut", socktest.Status(503, "Connection: close", "Retry-After: 4"), time.Minute, state.End{Result: control.Full, Wait: 4 * time.Second}},
 		{"no slot", socktest.Status(503, "X-Over-Slots: 1"), time.Minute, state.End{Result: control.Moot, NoSlot: true}},
 		{"spent", socktest.Status(504), time.Minute, state.End{Result: control.Moot}},
 		{"over", socktest.Status(410), time.Minute, state.End{Result: control.Moot, Finished: true}},
