Close connections of a large fleet after a failed ask, and rest evenly after news

Told counts 6 s after a change at the latest; a sender's knowledge got older where its rest after news was long (up to 6 s) or an ask failed (503 after 2 s in the queue, then 2 to 6 s more). A draining endpoint turns new connections away but takes calls on those from before. Ruled out: restarted senders, who have no connections from before. Change: control/control.go heard() closes idle connections of a large fleet's sender at a failed ask, and keeps none until one is answered; protocol/discovery.go rests 0.9 to 1.1 of the spread.

--- a/control/control.go
+++ b/control/control.go
@@ -89,7 +89,10 @@
 	case ListFailed:
 		// Discovery that is behind falls further behind with each ask made again: calls that waited too long
 		// have cost it their turn. All siblings meet that at once, so each asks ever more seldom.
-		c.watching, c.asking = false, false
+		// A drain may be hidden that only new connections would meet: those from before are closed.
+		if c.watching, c.asking, c.blind = false, false, c.even(); c.blind {
+			c.freeAll()
+		}
 		wait, spread := time.Duration(askRetry*float64(c.set.MustAsk)), c.set.AskSpread()
 		if spread > 0 {
 			wait = min(max(wait, spread)<<c.askFailed, max(c.set.MustAsk, spread))
@@ -97,7 +100,7 @@
 		c.askAt = c.now + time.Duration((0.5+c.rng.Float64())*float64(wait))
 		c.askFailed = min(c.askFailed+1, askDoubled)
 	default:
-		c.watching, c.asking, c.askFailed = true, false, 0
+		c.watching, c.asking, c.blind, c.askFailed = true, false, false, 0
 	}
 }
 
@@ -543,15 +546,6 @@
 	}
 }
 
-// reuse learns how calls fare on connections by the time these lay idle.
-func (c *Controller) reuse(a *attempt, r Result) {
-	if r == TimedOut || r == Broken {
-		c.lost[a.idle] += lossWeight * (1 - c.lost[a.idle])
-	} else if r == Served {
-		c.lost[a.idle] -= lossWeight * c.lost[a.idle]
-	}
-}
-
 // freshen closes the idle connections of an endpoint if calls on connections
 // that lay idle for so long are lost and those on busy ones are not: something
 // on the way forgets connections, which looks like a hung partner but is not.
@@ -593,7 +587,7 @@
 // keep siblings out. Costs handshakes while partners of that kind are down.
 func (c *Controller) unlink() {
 	for _, e := range c.freed {
-		if e.linked && e.out == 0 && c.crowd[e.Kind] > crowdLimit {
+		if e.linked && e.out == 0 && (c.blind || c.crowd[e.Kind] > crowdLimit) {
 			e.linked = false
 			c.act.Disconnect(e.ID)
 		}
@@ -847,16 +841,6 @@
 	return float64(free) <= reserve*float64(c.set.Slots) && c.time > 0 && density < lowYield*c.yield/c.time
 }
 
-// earn follows what the slots bring in for their time.
-func (c *Controller) earn(m *message, took time.Duration, r Result) {
-	c.yield *= 1 - yieldWeight
-	c.time *= 1 - yieldWeight
-	c.time += took.Seconds()
-	if r == Served {
-		c.yield += c.worth(m, c.age(m))
-	}
-}
-
 // round is one round of selection for a destination: the message that goes next, and where to, or nil.
 func (c *Controller) round(d *dest) (*message, *endpoint) {
 	for {
--- a/control/state.go
+++ b/control/state.go
@@ -202,6 +202,7 @@
 	resumed   time.Duration // the end of this instance's latest standstill
 	watching  bool
 	asking    bool
+	blind     bool // the latest ask failed
 	askAt     time.Duration
 	askFailed int // asks in a row
 	unheard   int // refusals of its own since a sibling was last heard of
@@ -343,6 +344,13 @@
 	}
 }
 
+// freeAll has all idle connections looked at again.
+func (c *Controller) freeAll() {
+	for _, id := range slices.Sorted(maps.Keys(c.endpoints)) { // in order, as it acts
+		c.freed = append(c.freed, c.endpoints[id])
+	}
+}
+
 // free tells that no message holds the turn.
 func (t *turn) free() bool { return len(t.line) == 0 && t.out == 0 }
 
@@ -425,3 +433,22 @@
 		e.route.limit, e.route.told = float64(load[i]), true
 	}
 }
+
+// reuse learns how calls fare on connections by the time these lay idle.
+func (c *Controller) reuse(a *attempt, r Result) {
+	if r == TimedOut || r == Broken {
+		c.lost[a.idle] += lossWeight * (1 - c.lost[a.idle])
+	} else if r == Served {
+		c.lost[a.idle] -= lossWeight * c.lost[a.idle]
+	}
+}
+
+// earn follows what the slots bring in for their time.
+func (c *Controller) earn(m *message, took time.Duration, r Result) {
+	c.yield *= 1 - yieldWeight
+	c.time *= 1 - yieldWeight
+	c.time += took.Seconds()
+	if r == Served {
+		c.yield += c.worth(m, c.age(m))
+	}
+}
--- a/internal/protocol/discovery.go
+++ b/internal/protocol/discovery.go
@@ -122,7 +122,7 @@
 		now.since = news.Version
 		d.post.Post(news)
 		if d.rest > 0 && len(news.Targets) > 0 {
-			pause(asking, time.Now().Add(d.rest/2+rand.N(d.rest)))
+			pause(asking, time.Now().Add(d.rest*9/10+rand.N(d.rest/5)))
 		} else if len(news.Targets) == 0 && time.Since(asked) < quickAnswer {
 			// A watch that does not wait must not become a storm of questions.
 			pause(asking, time.Now().Add(quickAnswer))
