--- a/control/control.go
+++ b/control/control.go
@@ -47,7 +47,7 @@
 	lossFade     = 0.01                   // part of that memory lost with each connection closed for it
 	crowdWeight  = 0.05                   // weight of the latest call in the part of a kind's calls...
 	crowdLimit   = 0.01                   // ...that get no connection; above this they are closed once idle
-	crowdFleet   = 8                      // so many siblings fill a partner that takes few connections
+	manySiblings = 8                      // from here on a fleet is large: its sum counts
 	reserve      = 0.25                   // part of the slots kept for calls that bring at least...
 	lowYield     = 0.5                    // ...so much of what slots usually bring for their time
 	yieldWeight  = 0.02                   // weight of the latest call in that
@@ -87,9 +87,8 @@
 			c.askAt += time.Duration(c.rng.Float64() * float64(c.set.AskSpread()))
 		}
 	case ListFailed:
-		// Discovery that is behind falls further behind with each ask made again: calls that waited too long
-		// have cost it their turn. All siblings meet that at once, so each asks ever more seldom.
-		// A drain may be hidden that only new connections would meet: those from before are closed.
+		// Each ask made again puts discovery further behind, which works off those that nobody awaits any more.
+		// Connections from before are closed: a drain may be hidden that only new ones would meet.
 		if c.watching, c.asking, c.blind = false, false, c.even(); c.blind {
 			c.freeAll()
 		}
@@ -104,10 +103,12 @@
 	}
 }
 
-// AskSpread is the time over which a large fleet spreads what all of its senders ask discovery at one
-// instant: at their start, or when a change has been told. A small one asks at once.
+// many tells a large fleet.
+func (s *Settings) many() bool { return s.Siblings >= manySiblings }
+
+// AskSpread is the time over which a large fleet spreads asks that would come at one instant; else 0.
 func (s *Settings) AskSpread() time.Duration {
-	if s.Siblings < crowdFleet {
+	if !s.many() {
 		return 0
 	}
 	return time.Duration(s.Siblings) * askTurn
@@ -269,6 +270,15 @@
 	d.answered = now
 }
 
+// learn moves T_m towards the time of the latest call.
+func (p *callTime) learn(took time.Duration) {
+	if p.tm == 0 {
+		p.tm, p.dev = took, took/2
+	}
+	p.dev = ewma(p.dev, max(took-p.tm, p.tm-took))
+	p.tm = ewma(p.tm, took)
+}
+
 // expect gives a destination that has not answered yet the call time of all: one of many sees little of each.
 func (c *Controller) expect(d *dest) {
 	if d.answers == 0 {
@@ -384,6 +394,14 @@
 	return min(c.set.Cold, time.Duration(float64(time.Second)/max(rate, 0.01)))
 }
 
+// ewma is the exponentially weighted moving average of the paper.
+func ewma(old, latest time.Duration) time.Duration {
+	if old == 0 {
+		return latest
+	}
+	return time.Duration(alpha*float64(latest) + (1-alpha)*float64(old))
+}
+
 // health moves the state of a route on an answer to a call sent at that time.
 func (c *Controller) health(e *endpoint, sent time.Duration, r Result, wait time.Duration) {
 	rt := e.route
@@ -490,7 +508,7 @@
 
 // even tells that this instance shares limits by even parts, in one movement with many siblings who tell one
 // another of refusals. A few learn their shares alone.
-func (c *Controller) even() bool { return c.set.CanTell && c.set.Siblings >= crowdFleet }
+func (c *Controller) even() bool { return c.set.CanTell && c.set.many() }
 
 // cut takes a share of a limit down after a refusal, a sibling's too: what all send in sum was too much, and
 // where refused calls use the limit up, all are refused until the sum is below it. One whose own refusals are
@@ -546,6 +564,15 @@
 	}
 }
 
+// reuse learns how calls fare on connections by the time these lay idle.
+func (c *Controller) reuse(a *attempt, r Result) {
+	if r == TimedOut || r == Broken {
+		c.lost[a.idle] += lossWeight * (1 - c.lost[a.idle])
+	} else if r == Served {
+		c.lost[a.idle] -= lossWeight * c.lost[a.idle]
+	}
+}
+
 // freshen closes the idle connections of an endpoint if calls on connections
 // that lay idle for so long are lost and those on busy ones are not: something
 // on the way forgets connections, which looks like a hung partner but is not.
@@ -565,18 +592,13 @@
 	return band
 }
 
-// presume is where the learning of crowding starts for a kind. A large fleet that first fills its partners
-// with idle connections leaves most senders without any: there they are scarce until calls show otherwise.
-func (c *Controller) presume(kind int) {
-	if _, known := c.crowd[kind]; !known && c.set.Siblings >= crowdFleet {
-		c.crowd[kind] = 1
-	}
-}
-
 // crowding learns how often endpoints of a kind refuse connections though they seem well: some take few,
-// and those that siblings hold idle count.
+// and those that siblings hold idle count. A large fleet that first fills its partners with idle connections
+// leaves most senders without any: there they are scarce until calls show otherwise.
 func (c *Controller) crowding(e *endpoint, r Result) {
-	c.presume(e.Kind)
+	if _, known := c.crowd[e.Kind]; !known && c.set.many() {
+		c.crowd[e.Kind] = 1
+	}
 	if (r == NoConnection || r == Crowded && c.even()) && !e.route.open {
 		c.crowd[e.Kind] += crowdWeight
 	}
@@ -601,20 +623,20 @@
 // hundreds call, one refusal means that in sum they exceed the limit many times.
 func (c *Controller) share(a *attempt, r Result, load []float32) {
 	rt, fleet := a.endpoint.route, float64(c.set.Siblings)/2
-	if r == Full && !rt.warming {
-		if a.sent >= rt.cutAt && c.even() {
+	switch {
+	case r == Full && !rt.warming && c.even():
+		if a.sent >= rt.cutAt {
 			c.cut(rt)
 			c.act.Tell(Note{a.endpoint.ID, SawRefusal, c.now - a.sent})
 			c.unheard++
-		} else if a.sent >= rt.cutAt {
+		}
+	case r == Full && !rt.warming:
+		if a.sent >= rt.cutAt {
 			rt.share *= math.Pow(shareDown, fleet)
 			rt.cutAt = c.now
 		}
-		if !c.even() {
-			rt.tokens, rt.filled = c.rng.Float64()-0.5, max(c.now, rt.wait) // not all siblings at one instant
-		}
-	}
-	if r == Served && !c.even() {
+		rt.tokens, rt.filled = c.rng.Float64()-0.5, max(c.now, rt.wait) // not all siblings at one instant
+	case r == Served && !c.even():
 		grown := min(c.now-rt.grownAt, time.Second).Seconds() * shareRise
 		rt.share, rt.grownAt = min(1, rt.share+grown), c.now
 	}
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -774,14 +774,14 @@
 // In a large fleet connections are taken for scarce from the first call on: if each sender kept one, a partner
 // that takes few would have no room for most of them. Calls that all find room show that there is enough.
 func TestLargeFleetKeepsNoIdleConnections(t *testing.T) {
-	for _, siblings := range []int{crowdFleet - 1, crowdFleet, 80} {
+	for _, siblings := range []int{manySiblings - 1, manySiblings, 80} {
 		set := settings()
 		set.Siblings = siblings
 		r := newRecorder(t, set)
 		r.ready(0, 1)
 		r.arrive(1, 0, 0)
 		r.serve(200*ms, 50*ms)
-		if closed, want := len(r.closed) == 1, siblings >= crowdFleet; closed != want {
+		if closed, want := len(r.closed) == 1, siblings >= manySiblings; closed != want {
 			t.Errorf("%d siblings: first connection closed %v", siblings, closed)
 		}
 		for id := MessageID(2); id < 200; id++ {
--- a/control/state.go
+++ b/control/state.go
@@ -366,29 +366,12 @@
 	}
 }
 
-// ewma is the exponentially weighted moving average of the paper.
-func ewma(old, latest time.Duration) time.Duration {
-	if old == 0 {
-		return latest
-	}
-	return time.Duration(alpha*float64(latest) + (1-alpha)*float64(old))
-}
-
 // count follows the rate of the traffic for the destination.
 func (d *dest) count(now time.Duration) {
 	d.rate = d.rate*math.Exp(-float64(now-d.rateAt)/float64(rateSpan)) + 1
 	d.rateAt = now
 }
 
-// learn moves T_m towards the time of the latest call.
-func (p *callTime) learn(took time.Duration) {
-	if p.tm == 0 {
-		p.tm, p.dev = took, took/2
-	}
-	p.dev = ewma(p.dev, max(took-p.tm, p.tm-took))
-	p.tm = ewma(p.tm, took)
-}
-
 // clock takes the time. A wake that comes late tells of a standstill of this instance: all that came
 // meanwhile is seen at this one instant, and call times hold the standstill too.
 func (c *Controller) clock(now time.Duration) {
@@ -434,15 +417,6 @@
 	}
 }
 
-// reuse learns how calls fare on connections by the time these lay idle.
-func (c *Controller) reuse(a *attempt, r Result) {
-	if r == TimedOut || r == Broken {
-		c.lost[a.idle] += lossWeight * (1 - c.lost[a.idle])
-	} else if r == Served {
-		c.lost[a.idle] -= lossWeight * c.lost[a.idle]
-	}
-}
-
 // earn follows what the slots bring in for their time.
 func (c *Controller) earn(m *message, took time.Duration, r Result) {
 	c.yield *= 1 - yieldWeight
