Spread many siblings over a destination's endpoints, and cut no share for full ones

Of two endpoints of one destination the first served 66 calls a second and the second 4 (dest 11), 66 and 6 (dest 12), 53 and 8 (dest 9), while messages were given up; and the shares of all senders sank from 2.45 even parts to 0.32 in 20 s, the served rate from 187 to 91 a second (dest 10), with no refusal above a limit. Causes: (1) better(), 'return e.used > o.used': without a connection to keep, all senders take the endpoint of the lowest id and stay with it. (2) judge(): an answer for want of room became a refusal above the limit unless this sender was served there within the last 2 s, which one of 288 seldom is; it was told to all, who cut. Ruled out: limits (no refusals above one after the first second), slots (1.5 of 4 used), discovery (no news). Change: while connections of a kind are closed after each call, the endpoint that was used the longest ago goes first, from a start drawn by seed and id.

--- a/control/control.go
+++ b/control/control.go
@@ -47,6 +47,7 @@
 	lossFade     = 0.01                   // part of that memory lost with each connection closed for it
 	crowdWeight  = 0.05                   // weight of the latest call in the part of a kind's calls...
 	crowdLimit   = 0.01                   // ...that get no connection; above this they are closed once idle
+	turnedMost   = 3                      // times that the wait for room at an endpoint doubles
 	manySiblings = 8                      // from here on a fleet is large: its sum counts
 	reserve      = 0.25                   // part of the slots kept for calls that bring at least...
 	lowYield     = 0.5                    // ...so much of what slots usually bring for their time
@@ -233,12 +234,15 @@
 	c.reuse(a, o.Result)
 	c.crowding(a.endpoint, o.Result)
 	if o.Result == Crowded {
-		// While it serves others, room comes soon. A few siblings rarely fill a partner that is well.
-		if o.Result = Full; c.even() && !rt.open && c.now-rt.goodAt < c.set.FallWindow {
-			a.endpoint.roomAt = c.now + time.Duration((0.5+c.rng.Float64())*float64(max(d.tm, c.set.Tick)))
+		// Among many siblings it is full of them: room comes as calls end. It proves neither a limit nor an outage.
+		if o.Result = Full; c.even() && !rt.open {
+			e := a.endpoint
+			e.roomAt = c.now + time.Duration((0.5+c.rng.Float64())*float64(max(d.tm, c.set.Tick)<<e.turned))
+			e.turned = min(e.turned+1, turnedMost)
 			return
 		}
 	}
+	a.endpoint.turned = 0
 	c.report(a.endpoint, o.Load)
 	if !c.crowded(a.endpoint, o) {
 		c.health(a.endpoint, a.sent, o.Result, o.Wait)
@@ -940,6 +944,9 @@
 	if e.out != o.out {
 		return e.out < o.out
 	}
+	if c.even() && c.crowd[e.Kind] > crowdLimit {
+		return e.used < o.used // without a connection to keep, all of many siblings would fill the same one
+	}
 	return e.used > o.used
 }
 
@@ -952,50 +959,3 @@
 	}
 	return e.bad
 }
-
-// arm asks to be woken when time alone changes what can be done.
-func (c *Controller) arm() {
-	next := time.Duration(math.MaxInt64)
-	at := func(t time.Duration) {
-		if t > c.now && t < next {
-			next = t
-		}
-	}
-	if c.calls > 0 {
-		at(c.now + pulse)
-	}
-	for _, m := range c.held {
-		if m.out == nil && !m.live {
-			at(c.lastCall(m))
-		}
-		if m.turn != nil {
-			at(m.turn.rest)
-		}
-	}
-	for _, d := range c.busy {
-		if len(d.outs) > 0 {
-			at(d.outs[0].sent + d.outs[0].usual)
-			at(d.outs[0].wanted)
-		}
-		if len(d.fresh)+len(d.old) == 0 {
-			continue
-		}
-		for _, e := range d.endpoints {
-			at(e.route.wait)
-			at(e.roomAt)
-			at(e.route.retryAt)
-			if p := c.pace(e); p > 0 {
-				at(c.now + time.Duration((1-e.route.tokens)/p*float64(time.Second)))
-			}
-		}
-	}
-	if c.set.Ask && !c.watching && !c.asking {
-		at(c.askAt)
-	}
-	if next == math.MaxInt64 || c.armed > c.now && c.armed <= next {
-		return
-	}
-	c.token++
-	c.armed = next
-	c.act.Wake(next-c.now, c.token)
-}
--- a/control/state.go
+++ b/control/state.go
@@ -45,6 +45,7 @@
 	used   time.Duration
 	linked bool          // a connection is thought open
 	roomAt time.Duration // it may have room for a connection again
+	turned int           // answers in a row that it has none
 	left   time.Duration // when it was last seen to be listed
 	last   *call         // the latest call, which sends of one instant may share
 }
@@ -303,6 +304,9 @@
 		copy(d.endpoints[i+1:], d.endpoints[i:])
 		d.endpoints[i] = e
 		e.Endpoint = line
+		if c.even() { // many siblings must not all begin with the same one
+			e.used = -time.Duration(rand.New(rand.NewPCG(c.set.Seed, uint64(line.ID))).Int64N(int64(time.Second)))
+		}
 	}
 	line.Destination = e.Destination
 	if line.State == Removed {
@@ -426,3 +430,50 @@
 		c.yield += c.worth(m, c.age(m))
 	}
 }
+
+// arm asks to be woken when time alone changes what can be done.
+func (c *Controller) arm() {
+	next := time.Duration(math.MaxInt64)
+	at := func(t time.Duration) {
+		if t > c.now && t < next {
+			next = t
+		}
+	}
+	if c.calls > 0 {
+		at(c.now + pulse)
+	}
+	for _, m := range c.held {
+		if m.out == nil && !m.live {
+			at(c.lastCall(m))
+		}
+		if m.turn != nil {
+			at(m.turn.rest)
+		}
+	}
+	for _, d := range c.busy {
+		if len(d.outs) > 0 {
+			at(d.outs[0].sent + d.outs[0].usual)
+			at(d.outs[0].wanted)
+		}
+		if len(d.fresh)+len(d.old) == 0 {
+			continue
+		}
+		for _, e := range d.endpoints {
+			at(e.route.wait)
+			at(e.roomAt)
+			at(e.route.retryAt)
+			if p := c.pace(e); p > 0 {
+				at(c.now + time.Duration((1-e.route.tokens)/p*float64(time.Second)))
+			}
+		}
+	}
+	if c.set.Ask && !c.watching && !c.asking {
+		at(c.askAt)
+	}
+	if next == math.MaxInt64 || c.armed > c.now && c.armed <= next {
+		return
+	}
+	c.token++
+	c.armed = next
+	c.act.Wake(next-c.now, c.token)
+}
