--- a/control/control.go
+++ b/control/control.go
@@ -10,6 +10,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 )
 
@@ -202,6 +203,25 @@
 	}
 }
 
+// Retune takes other settings while messages are held and out. Each keeps the class that it came with. What
+// this instance is among its siblings, and how destinations are built, no settings can change under way.
+func (c *Controller) Retune(now time.Duration, set Settings) error {
+	c.clock(now)
+	old := &c.set
+	set.Seed, set.Index, set.Siblings, set.Zone = old.Seed, old.Index, old.Siblings, old.Zone
+	set.Kinds, set.CanTell, set.Ask = old.Kinds, old.CanTell, old.Ask
+	if err := validate(&set); err != nil {
+		return err
+	}
+	c.set = set
+	for _, m := range slices.Clone(c.held) { // fewer attempts may be allowed than some had
+		if m.out == nil && !m.live && !c.mayRetry(m) {
+			c.giveUp(m)
+		}
+	}
+	return nil
+}
+
 // judge learns from an outcome: T_m, the stall, the report and the health.
 func (c *Controller) judge(a *attempt, o Outcome) {
 	if o.Result == Cancelled {
@@ -313,7 +333,7 @@
 // reclaim calls off the most overdue call of a silent destination when all slots
 // are taken and others' messages wait: with slots to spare it may yet be answered.
 func (c *Controller) reclaim() {
-	if !c.set.CanCancel || c.calls < c.set.Slots {
+	if !c.set.CanCancel || c.calls+c.abroad < c.set.Slots {
 		return
 	}
 	var worst *attempt
@@ -667,7 +687,7 @@
 		return c.set.CanProbe && e.State == Ready && c.now >= max(e.route.wait, e.route.retryAt)
 	}
 	return !m.over && m.out == nil && c.now < m.due && c.mayRetry(m) && c.sameMemory(m, e) &&
-		c.hasTurn(m) && c.reachable(e) && (c.calls < c.set.Slots || c.joins(e))
+		c.hasTurn(m) && c.reachable(e) && (c.calls+c.abroad < c.set.Slots || c.joins(e))
 }
 
 // mayHandBack: a refusal tells that trying again is harmless.
@@ -863,7 +883,7 @@
 // scarce holds back a call that brings little for its time when few slots are left: a slow or sick
 // destination may use idle slots, but not the last ones that quick calls to others need.
 func (c *Controller) scarce(density float64) bool {
-	free := c.set.Slots - c.calls
+	free := c.set.Slots - c.calls - c.abroad
 	return float64(free) <= reserve*float64(c.set.Slots) && c.time > 0 && density < lowYield*c.yield/c.time
 }
 
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -1057,3 +1057,43 @@
 		t.Fatal("the partner may be cold, and gets all that waits")
 	}
 }
+
+// Under other settings a message keeps the class that it came with, one that had more attempts than are allowed now ends
+// at once, a wait stays, and what makes no sense changes nothing.
+func TestRetune(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		tune  func(*Settings)
+		err   bool
+		final string // of an unsafe message that was turned away once and waits
+	}{
+		{"nothing", func(*Settings) {}, false, ""},
+		{"classes vanish", func(s *Settings) { s.Classes = s.Classes[:1] }, false, ""},
+		{"its class becomes safe", func(s *Settings) { s.Classes[2].Effect = Safe }, false, ""},
+		{"fewer attempts", func(s *Settings) { s.SendCap = 1 }, false, "refused"},
+		{"no deadline", func(s *Settings) { s.SendCap, s.Classes[1].Deadline = 1, 0 }, true, ""},
+		{"no classes", func(s *Settings) { s.SendCap, s.Classes = 1, nil }, true, ""},
+	} {
+		r := newRecorder(t, settings())
+		r.ready(0, 1)
+		out, waits := r.arrive(1, 2, 0), r.arrive(2, 2, 0)
+		r.answer(2, Full, 500*ms)
+		set := settings()
+		set.Siblings, set.Kinds = 99, nil // what can't change under way
+		c.tune(&set)
+		if err := r.c.Retune(r.now, set); (err != nil) != c.err {
+			t.Errorf("%s: %v", c.name, err)
+		}
+		if r.c.set.Siblings != 2 || len(r.c.set.Kinds) != 1 {
+			t.Errorf("%s: siblings %d, kinds %d", c.name, r.c.set.Siblings, len(r.c.set.Kinds))
+		}
+		if waits.final != c.final {
+			t.Errorf("%s: the waiting message: %q, want %q", c.name, waits.final, c.final)
+		}
+		r.answer(1, Broken, 0)
+		r.pass(time.Second)
+		if out.sends > 1 || out.final != "failed" {
+			t.Errorf("%s: one that broke was sent %d times, and ended %q", c.name, out.sends, out.final)
+		}
+	}
+}
--- a/control/state.go
+++ b/control/state.go
@@ -198,6 +198,7 @@
 	drift     float64            // call times lately over the T_m of their destinations
 	freed     []*endpoint        // endpoints with outcomes at this instant
 	calls     int                // slots taken
+	abroad    int                // and those taken by another process of this instance
 	token     uint32
 	armed     time.Duration
 	resumed   time.Duration // the end of this instance's latest standstill
@@ -477,3 +478,67 @@
 	c.armed = next
 	c.act.Wake(next-c.now, c.token)
 }
+
+// Recall tells what is known of the endpoints listed.
+func (c *Controller) Recall(now time.Duration) []Recollection {
+	c.clock(now)
+	var list []Recollection
+	for _, id := range slices.Sorted(maps.Keys(c.endpoints)) {
+		e := c.endpoints[id]
+		if rt := e.route; e.State != Removed {
+			list = append(list, Recollection{
+				Endpoint: id, Wait: max(0, rt.wait-now), Bad: rt.bad, Since: now - rt.since, Open: rt.open,
+				Retry: max(0, rt.retryAt-now), Backoff: rt.backoff, Warming: rt.warming, Back: now - rt.backAt,
+				Share: rt.share, TM: e.dest.tm, Dev: e.dest.dev,
+			})
+		}
+	}
+	return list
+}
+
+// Remember takes up what the controller before this one knew of endpoints that this one has in its list. A clock
+// of this controller's begins at its start: times before it are negative.
+func (c *Controller) Remember(now time.Duration, list []Recollection) {
+	c.clock(now)
+	for _, r := range list {
+		e := c.endpoints[r.Endpoint]
+		if e == nil {
+			continue
+		}
+		rt := e.route
+		rt.wait = max(rt.wait, now+r.Wait)
+		rt.bad, rt.since, rt.badAt = r.Bad, now-r.Since, now
+		rt.open, rt.retryAt, rt.backoff, rt.before = r.Open, now+r.Retry, r.Backoff, r.TM
+		rt.risky = r.Open // what the lone calls met is not told: a probe goes first, where it may
+		if rt.warming = r.Warming; rt.warming {
+			rt.backAt, rt.warmAt, rt.tokens = now-r.Back, now-r.Back, 0
+		}
+		if r.Share > 0 && r.Share <= 1 {
+			rt.share = r.Share
+		}
+		if r.TM > 0 && e.dest.tm == 0 {
+			e.dest.tm, e.dest.dev, e.dest.answers = r.TM, r.Dev, 1
+		}
+		rt.filled = now
+	}
+}
+
+// Abroad tells how many slots calls of another process of this instance take.
+func (c *Controller) Abroad(now time.Duration, calls int) {
+	c.clock(now)
+	c.abroad = calls
+}
+
+// Saw takes the outcome of a call that another process of this instance had out, sent so long ago: its waits bind,
+// and it tells of the endpoint's health. What became of its message the host has seen to.
+func (c *Controller) Saw(now time.Duration, o Outcome, ago time.Duration) {
+	c.clock(now)
+	e := c.endpoints[o.Endpoint]
+	if e == nil || o.Result == Moot || o.Result == Rejected || o.Result == Cancelled || o.Result == Crowded {
+		return
+	}
+	if o.Wait > 0 {
+		e.route.wait = max(e.route.wait, c.now+o.Wait)
+	}
+	c.health(e, now-ago, o.Result, o.Wait)
+}
--- a/control/types.go
+++ b/control/types.go
@@ -205,6 +205,22 @@
 	Ago      time.Duration // since the call that showed it was sent
 }
 
+// A Recollection is what a controller knows of an endpoint's route, for the one that comes after it in another
+// process of the same instance. Times are counted from the moment that it tells of.
+type Recollection struct {
+	Endpoint EndpointID
+	Wait     time.Duration // nothing is to be sent for so long
+	Bad      int           // answers in a row that served nothing
+	Since    time.Duration // ago: the first of them
+	Open     bool          // taken for an outage
+	Retry    time.Duration // open: the next lone call in so long
+	Backoff  time.Duration // open: the pause after the next failed call
+	Warming  bool          // in its slow start...
+	Back     time.Duration // ...which began so long ago
+	Share    float64       // of its limit
+	TM, Dev  time.Duration // of the calls of its destination
+}
+
 // Actions is what a controller asks of its host. The host carries the calls
 // out in the order they are made and never calls back into the controller.
 type Actions interface {
--- /dev/null
+++ b/internal/admin/front_test.go
@@ -0,0 +1,107 @@
+package admin
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+)
+
+// post is a station that notes what it is told.
+type post struct {
+	ready error
+	told  chan string
+}
+
+func (p *post) Ready() error    { return p.ready }
+func (p *post) Drain() error    { p.told <- "drain"; return nil }
+func (p *post) Activate() error { p.told <- "activate"; return nil }
+
+func front(t *testing.T, p *post) *Front {
+	t.Helper()
+	f, err := ListenTCP("127.0.0.1:0", p, slog.New(slog.DiscardHandler))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(f.Close)
+	go f.Serve()
+	return f
+}
+
+// ask makes one call, and wants its connection closed after it.
+func ask(t *testing.T, f *Front, request string) (int, error) {
+	t.Helper()
+	c, err := net.Dial("tcp", f.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	c.SetDeadline(time.Now().Add(20 * time.Second))
+	io.WriteString(c, request)
+	all, err := io.ReadAll(c)
+	status := 0
+	fmt.Sscanf(string(all), "HTTP/1.1 %d", &status)
+	return status, err
+}
+
+func TestFrontCalls(t *testing.T) {
+	for _, c := range []struct {
+		request string
+		ready   error
+		status  int
+		told    string
+	}{
+		{"GET /v1/readyz", nil, http.StatusOK, ""},
+		{"GET /v1/readyz", errors.New("starting"), http.StatusServiceUnavailable, ""},
+		{"PUT /v1/sender/drain", nil, http.StatusOK, "drain"},
+		{"PUT /v1/sender/activate", nil, http.StatusOK, "activate"},
+		{"POST /v1/sender/drain", nil, http.StatusMethodNotAllowed, ""},
+		{"GET /v1/sender/drain", nil, http.StatusMethodNotAllowed, ""},
+		{"GET /held/list", nil, http.StatusNotFound, ""}, // nobody can be told apart here
+		{"GET /", nil, http.StatusNotFound, ""},
+	} {
+		p := &post{c.ready, make(chan string, 1)}
+		f := front(t, p)
+		if status, err := ask(t, f, c.request+" HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n"); status != c.status || err != nil {
+			t.Errorf("%s: status %d, %v, want %d", c.request, status, err, c.status)
+		}
+		told := ""
+		select {
+		case told = <-p.told:
+		default:
+		}
+		if told != c.told {
+			t.Errorf("%s: told %q, want %q", c.request, told, c.told)
+		}
+	}
+}
+
+// Callers that send half a call, or nothing, hold all places and more: the next whole call is answered all the same,
+// and a head without end costs its own connection.
+func TestFrontBesideHalfCalls(t *testing.T) {
+	f := front(t, &post{told: make(chan string, 1)})
+	for i := range 2 * FrontPlaces {
+		c, err := net.Dial("tcp", f.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { c.Close() })
+		if i%2 == 0 {
+			io.WriteString(c, "PUT /v1/sender/drain HTTP/1.1\r\nHos")
+		}
+	}
+	if status, err := ask(t, f, "GET /v1/readyz HTTP/1.1\r\nHost: x\r\n\r\n"); status != http.StatusOK || err != nil {
+		t.Errorf("status %d, %v", status, err)
+	}
+	if n := len(f.sock.open); n > FrontPlaces {
+		t.Errorf("%d connections held", n)
+	}
+	if status, _ := ask(t, f, "GET /v1/readyz HTTP/1.1\r\nX: "+strings.Repeat("x", 8*frontHead)+"\r\n\r\n"); status != 0 && status != http.StatusRequestHeaderFieldsTooLarge {
+		t.Errorf("endless head: status %d", status)
+	}
+}
--- a/internal/admin/server.go
+++ b/internal/admin/server.go
@@ -66,7 +66,8 @@
 type peerKey struct{}
 
 // Listen binds the socket, for its owner alone. One that a dead process left is replaced.
-func Listen(path string, k Keeper, log *slog.Logger) (*Server, error) {
+// Without a keeper only the station's calls are served.
+func Listen(path string, k Keeper, station Station, log *slog.Logger) (*Server, error) {
 	if c, err := net.Dial("unix", path); err == nil {
 		c.Close()
 		return nil, fmt.Errorf("admin: %s is in use by another process", path)
@@ -89,11 +90,16 @@
 	}
 	s := &Server{path: path, keeper: k, log: log, sock: sock, places: make(chan struct{}, callsMost)}
 	mux := http.NewServeMux()
+	for pattern, h := range stationCalls(station) {
+		mux.HandleFunc(pattern, s.own(h))
+	}
 	for pattern, h := range map[string]func(r *http.Request) (any, error){
 		"GET /held/list": s.list, "GET /held/export": s.export, "GET /held/show/{seq}": s.show, "GET /held/stats": s.stats,
 		"GET /held/audit": s.audit, "POST /held/resend": s.resend, "POST /held/drop": s.drop, "POST /held/import": s.imports,
 	} {
-		mux.HandleFunc(pattern, s.handle(h))
+		if k != nil {
+			mux.HandleFunc(pattern, s.handle(h))
+		}
 	}
 	s.http = &http.Server{
 		Handler: mux, ReadHeaderTimeout: headSpan, ReadTimeout: actSpan, WriteTimeout: 2 * actSpan, IdleTimeout: idleSpan,
@@ -145,6 +151,17 @@
 
 func (f *fault) Error() string { return f.text }
 
+// own lets the sender's own user through alone.
+func (s *Server) own(h http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		if uid := r.Context().Value(peerKey{}); uid != os.Geteuid() && uid != 0 {
+			http.Error(w, "only the sender's own user may ask", http.StatusForbidden)
+			return
+		}
+		h(w, r)
+	}
+}
+
 // handle runs a request and writes what came of it as JSON.
 func (s *Server) handle(h func(*http.Request) (any, error)) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
--- a/internal/lifecycle/config.go
+++ b/internal/lifecycle/config.go
@@ -4,8 +4,11 @@
 import (
 	"errors"
 	"fmt"
+	"maps"
 	"os"
+	"slices"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/tidwall/gjson"
@@ -20,6 +23,7 @@
 // Config is what a sender is told.
 type Config struct {
 	Name, Listen, Discovery, State string
+	Admin                          string   // the second address, for those who run the sender; empty = none
 	PeerListen, PeersAll           string   // where notes between senders come in, and what reaches all
 	Peers                          []string // where those of the others come from, by their numbers
 	Limits                         Limits
@@ -27,6 +31,8 @@
 	Names                          protocol.Names
 	Known                          state.News
 	Ours                           *settings.Settings // nil: no script was named
+	text                           string             // as it was read
+	given                          []control.Class    // the classes of the settings in force, as they stood there
 }
 
 // Limits are what the machine gives.
@@ -77,7 +83,7 @@
 		return Config{}, errors.New("configuration: not JSON")
 	}
 	doc := gjson.ParseBytes(text)
-	c := Config{}
+	c := Config{text: string(text)}
 	if err := c.parsePlaces(doc, env); err != nil {
 		return c, err
 	}
@@ -109,7 +115,7 @@
 		name, in string
 	}{
 		{&c.Name, "LB_NAME", "name"}, {&c.Listen, "LB_LISTEN", "listen"},
-		{&c.Discovery, "LB_DISCOVERY", "discovery"}, {&c.State, "LB_STATE", "state"},
+		{&c.Discovery, "LB_DISCOVERY", "discovery"}, {&c.State, "LB_STATE", "state"}, {&c.Admin, "LB_ADMIN", "admin"},
 	} {
 		first, second := env(f.name), doc.Get(f.in).String()
 		if f.to == &c.Discovery {
@@ -118,7 +124,7 @@
 		if *f.to = first; first == "" {
 			*f.to = second
 		}
-		if *f.to == "" && f.in != "name" {
+		if *f.to == "" && f.in != "name" && f.in != "admin" {
 			return fmt.Errorf("configuration: neither %q nor %s given", f.in, f.name)
 		}
 	}
@@ -134,6 +140,9 @@
 	if !set.IsObject() {
 		return errors.New("configuration: no settings")
 	}
+	if err := figures(set); err != nil {
+		return err
+	}
 	if c.Settings, err = wire.ParseSettings([]byte(set.Raw), seed); err == nil {
 		_, err = control.New(c.Settings, nil)
 	}
@@ -150,6 +159,83 @@
 	return nil
 }
 
+// figures wants those that must be numbers above 0, where they are given, to be so.
+func figures(set gjson.Result) error {
+	var err error
+	positive := func(name string, v gjson.Result, must bool) {
+		if err == nil && (v.Exists() || must) && (v.Type != gjson.Number || v.Float() <= 0) {
+			err = fmt.Errorf("configuration: settings: %s: %q: a number above 0 wanted", name, v.Raw)
+		}
+	}
+	positive("limits.send-cap", set.Get("limits.send-cap"), false)
+	positive("specifics.max-calls", set.Get("specifics.max-calls"), true)
+	for i, p := range set.Get("profiles").Array() {
+		positive(fmt.Sprintf("profiles[%d].deadline-ms", i), p.Get("deadline-ms"), true)
+	}
+	return err
+}
+
+// elective are keys that a configuration which is read again need not have: they are for the start alone.
+var elective = map[string]bool{"seed": true, "known": true, "admin": true, "name": true}
+
+// lacks finds a key that a configuration had and the one read after it has not, or has of another type. Who
+// replaces the file writes all of it: a key that is gone is a mistake, not a wish for what holds without it.
+func lacks(old, new gjson.Result, path string) error {
+	var err error
+	old.ForEach(func(key, was gjson.Result) bool {
+		name := key.String()
+		at := strings.TrimPrefix(path+"."+name, ".")
+		is := new.Get(gjson.Escape(name))
+		switch {
+		case path == "" && elective[name]:
+		case !is.Exists():
+			err = fmt.Errorf("configuration: %s: missing", at)
+		case kindOf(was) != kindOf(is):
+			err = fmt.Errorf("configuration: %s: %.40s: not of the kind that it was", at, is.Raw)
+		case was.IsObject():
+			err = lacks(was, is, at)
+		case was.IsArray():
+			err = lacksEach(was.Array(), is.Array(), at)
+		}
+		return err == nil
+	})
+	return err
+}
+
+// lacksEach wants of each object of a list the keys that all objects of the list before had.
+func lacksEach(old, new []gjson.Result, path string) error {
+	common := map[string]bool{}
+	for i, o := range old {
+		if !o.IsObject() {
+			return nil
+		}
+		has := map[string]bool{}
+		o.ForEach(func(key, _ gjson.Result) bool { has[key.String()] = i == 0 || common[key.String()]; return true })
+		common = has
+	}
+	for _, name := range slices.Sorted(maps.Keys(common)) {
+		for i, o := range new {
+			if is := o.Get(gjson.Escape(name)); common[name] && (!is.Exists() || kindOf(is) != kindOf(old[0].Get(gjson.Escape(name)))) {
+				return fmt.Errorf("configuration: %s[%d].%s: missing, or not of the kind that it was", path, i, name)
+			}
+		}
+	}
+	return nil
+}
+
+// kindOf is the kind of a value; both truth values are one.
+func kindOf(v gjson.Result) string {
+	switch {
+	case v.IsObject():
+		return "object"
+	case v.IsArray():
+		return "list"
+	case v.IsBool():
+		return "truth"
+	}
+	return v.Type.String()
+}
+
 func parseSeed(s string) (uint64, error) {
 	if s == "" {
 		return uint64(time.Now().UnixNano()), nil
--- a/internal/lifecycle/config_test.go
+++ b/internal/lifecycle/config_test.go
@@ -4,6 +4,8 @@
 	"os"
 	"strings"
 	"testing"
+
+	"github.com/tidwall/gjson"
 )
 
 func TestParse(t *testing.T) {
@@ -22,7 +24,7 @@
 		{"negative limit", `"disk_mb": 3`, `"disk_mb": -3`, "negative"},
 		{"no settings", `"settings"`, `"x"`, "no settings"},
 		{"bad effect", `"effect": "safe"`, `"effect": "odd"`, "effect"},
-		{"settings of no use", `"max-calls": 16`, `"max-calls": 0`, "Slots"},
+		{"settings of no use", `"max-calls": 16`, `"max-calls": 0`, "max-calls"},
 		{"classes of one name", `"name": "print-order"`, `"name": "status"`, "one name"},
 		{"bad list", `"servers": []`, `"servers": 1`, "known"},
 	} {
@@ -45,3 +47,50 @@
 		t.Errorf("discovery from the environment: %v, %q", err, got.Discovery)
 	}
 }
+
+// A configuration that is read again is taken whole or not at all.
+func TestReadAgain(t *testing.T) {
+	text, err := os.ReadFile("../../examples/config.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	good := strings.Replace(string(text), `"name": "n0",`, `"name": "n0", "seed": "7", "admin": "127.0.0.1:1", `, 1)
+	none := func(string) string { return "" }
+	old, err := Parse([]byte(good), none)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, c := range []struct{ name, old, new, want string }{
+		{"as it is", "", "", ""},
+		{"a class more", `{"name": "fee-payment"`, `{"name": "proof", "aim-ms": 1, "deadline-ms": 9, "effect": "safe", "late-worth": 0.5, "worth": 2}, {"name": "fee-payment"`, ""},
+		{"a class less", `"effect": "unsafe", "late-worth": 0.5, "worth": 3}`, `"effect": "unsafe", "late-worth": 0.5, "worth": 3}`, ""},
+		{"stricter", `"effect": "safe"`, `"effect": "unsafe"`, ""},
+		{"fewer attempts", `"send-cap": 12`, `"send-cap": 3`, ""},
+		{"without what only a start asks for", `"seed": "7", "admin": "127.0.0.1:1", `, ``, ""},
+		{"empty", good, "", "not JSON"},
+		{"cut short", good, good[:len(good)/2], "not JSON"},
+		{"no settings", `"settings"`, `"x"`, "settings"},
+		{"no deadline", `"deadline-ms": 20000, `, ``, "profiles[1].deadline-ms"},
+		{"no attempts", `"send-cap": 12, `, ``, "limits.send-cap"},
+		{"attempts: none", `"send-cap": 12`, `"send-cap": 0`, "limits.send-cap"},
+		{"attempts: below none", `"send-cap": 12`, `"send-cap": -1`, "limits.send-cap"},
+		{"attempts: a word", `"send-cap": 12`, `"send-cap": "12"`, "limits.send-cap"},
+		{"attempts: null", `"send-cap": 12`, `"send-cap": null`, "limits.send-cap"},
+		{"attempts: half", `"send-cap": 12`, `"send-cap": 1.5`, "settings"},
+		{"deadline: none", `"deadline-ms": 8000`, `"deadline-ms": 0`, "profiles[0].deadline-ms"},
+		{"deadline: below none", `"deadline-ms": 8000`, `"deadline-ms": -8`, "profiles[0].deadline-ms"},
+		{"deadline: a word", `"deadline-ms": 8000`, `"deadline-ms": "soon"`, "profiles[0].deadline-ms"},
+		{"deadline: null", `"deadline-ms": 8000`, `"deadline-ms": null`, "profiles[0].deadline-ms"},
+		{"no slots", `"max-calls": 16, `, ``, "max-calls"},
+		{"a list that is none", `"tenants": [`, `"tenants": 1, "x": [`, "tenants"},
+		{"no discovery", `"discovery": "127.0.0.1:8500"`, `"y": 1`, "discovery"},
+	} {
+		c2, err := Parse([]byte(strings.Replace(good, c.old, c.new, 1)), none)
+		if err == nil {
+			err = lacks(gjson.Parse(old.text), gjson.Parse(c2.text), "")
+		}
+		if c.want == "" && err != nil || c.want != "" && (err == nil || !strings.Contains(err.Error(), c.want)) {
+			t.Errorf("%s: %v, want %q", c.name, err, c.want)
+		}
+	}
+}
--- a/internal/lifecycle/serve.go
+++ b/internal/lifecycle/serve.go
@@ -2,18 +2,24 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"log/slog"
+	"maps"
 	"math"
 	"os"
 	"os/signal"
 	"reflect"
 	"runtime"
 	"runtime/debug"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
 
+	"github.com/tidwall/gjson"
+
+	"cleathold/control"
 	"cleathold/internal/admin"
 	"cleathold/internal/held"
 	"cleathold/internal/protocol"
@@ -60,7 +66,8 @@
 		return err
 	}
 	bound(c.Limits)
-	setup := state.Setup{Settings: c.Settings, Known: c.Known, Dir: c.State, DiskBytes: c.Limits.DiskBytes, Log: log}
+	c.given = c.Settings.Classes
+	setup := state.Setup{Settings: c.Settings, Classes: wordsOf(c.Names.Classes), Known: c.Known, Dir: c.State, DiskBytes: c.Limits.DiskBytes, Log: log}
 	if c.Ours != nil {
 		setup.Durability, setup.GroupWait = durabilities[c.Ours.Journal.Durability], c.Ours.Journal.Wait
 	}
@@ -86,7 +93,8 @@
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
-	plane, err := openPlane(c, keeper, log)
+	post := &station{log: log}
+	plane, front, err := openPlane(c, keeper, post, log)
 	if err != nil {
 		listener.Close(time.Now())
 		return err
@@ -104,6 +112,9 @@
 	if plane != nil {
 		wg.Go(plane.Serve)
 	}
+	if front != nil {
+		wg.Go(front.Serve)
+	}
 	for _, run := range []func(context.Context){loop.Run, sender.Run, discovery.Run, notices.Run} {
 		wg.Go(func() { run(ctx) })
 	}
@@ -111,11 +122,12 @@
 		wg.Go(func() { peers.Run(ctx, loop) })
 	}
 	wg.Go(listener.Serve)
+	post.begin(listener)
 	log.Info("serving", "name", c.Name, "listen", listener.Addr().String())
 	for serving := true; serving; {
 		select {
 		case <-reload:
-			c = renew(c, load, discovery, notices, log)
+			c = renew(c, load, changes{discovery, notices, loop, listener, keeper != nil}, log)
 			if keeper != nil && c.Ours != nil {
 				keeper.Reload(c.Ours)
 			}
@@ -124,11 +136,15 @@
 		}
 	}
 	told := time.Now()
+	post.enter(stopping)
 	wind(loop, listener, told)
 	cancel()
 	if plane != nil {
 		plane.Close()
 	}
+	if front != nil {
+		front.Close()
+	}
 	wg.Wait()
 	select {
 	case <-kept:
@@ -155,34 +171,106 @@
 // A mover can turn to another address.
 type mover interface{ Move(addr string) }
 
+// changes are those that a configuration which is read again is told to.
+type changes struct {
+	discovery, notices mover
+	loop               interface {
+		PostBefore(event any, limit time.Time) bool
+	}
+	listener interface {
+		Rename(protocol.Names, []control.Class)
+	}
+	keeps bool // a keeper numbers classes, too
+}
+
+// tuneSpan is how long the loop may take to answer new settings.
+const tuneSpan = time.Second
+
 // renew reads the configuration again and returns the one in force. The address
-// of discovery and the runtime's limits are taken over as the sender runs. What
-// else has changed waits for the next start: the controller, the journal and the
-// listener are built on it. An unreadable file changes nothing.
-func renew(old Config, load Source, discovery, notices mover, log *slog.Logger) Config {
+// of discovery, the settings of the controller and the runtime's limits are taken
+// over as the sender runs, all of them or none. What else has changed waits for the
+// next start: the journal and the listener are built on it.
+func renew(old Config, load Source, to changes, log *slog.Logger) Config {
 	c, err := load()
+	if err == nil {
+		err = lacks(gjson.Parse(old.text), gjson.Parse(c.text), "")
+	}
+	now := old
+	if err == nil {
+		now, err = retune(old, c, to, log)
+	}
 	if err != nil {
 		log.Error("configuration not read again, the old one holds", "err", err)
 		return old
 	}
 	if c.Discovery != old.Discovery {
-		discovery.Move(c.Discovery)
-		notices.Move(c.Discovery)
+		to.discovery.Move(c.Discovery)
+		to.notices.Move(c.Discovery)
 	}
 	bound(c.Limits)
-	now := old
-	now.Discovery = c.Discovery
+	now.Discovery, now.text = c.Discovery, c.text
 	now.Limits.Cores, now.Limits.MemoryMB = c.Limits.Cores, c.Limits.MemoryMB
 	now.Ours = renewOurs(old.Ours, c.Ours, log)
-	c.Ours = now.Ours
-	c.Known = old.Known // only the start of a sender asks for it
-	if c.Settings.Seed = old.Settings.Seed; !reflect.DeepEqual(c, now) {
-		log.Warn("configuration read again: some of what has changed waits for the next start")
+	if waits := c.waits(now); len(waits) > 0 {
+		log.Warn("configuration read again: some of what has changed waits for the next start", "keys", waits)
 	}
-	log.Info("configuration read again", "discovery", now.Discovery)
+	log.Info("configuration read again", "discovery", now.Discovery, "classes", len(now.Names.Classes), "attempts", now.Settings.SendCap)
 	return now
 }
 
+// waits names what of a configuration does not hold until the next start.
+func (c Config) waits(now Config) (list []string) {
+	for _, k := range []struct {
+		name string
+		same bool
+	}{
+		{"listen", c.Listen == now.Listen}, {"state", c.State == now.State}, {"admin", c.Admin == now.Admin},
+		{"peers", c.PeerListen == now.PeerListen && c.PeersAll == now.PeersAll && slices.Equal(c.Peers, now.Peers)},
+		{"limits.sockets", c.Limits.Sockets == now.Limits.Sockets}, {"limits.disk_mb", c.Limits.DiskBytes == now.Limits.DiskBytes},
+		{"settings.siblings", c.Settings.Siblings == now.Settings.Siblings}, {"settings.me", c.Settings.Index == now.Settings.Index},
+		{"settings.kinds", slices.Equal(c.Settings.Kinds, now.Settings.Kinds)},
+	} {
+		if !k.same {
+			list = append(list, k.name)
+		}
+	}
+	return list
+}
+
+// retune has the loop take new settings, and the listener the words of them.
+func retune(old, c Config, to changes, log *slog.Logger) (Config, error) {
+	same := c.Settings
+	same.Seed, same.Classes, same.CanTell = old.Settings.Seed, old.Settings.Classes, old.Settings.CanTell
+	if reflect.DeepEqual(same, old.Settings) && maps.Equal(c.Names.Classes, old.Names.Classes) && slices.Equal(c.Settings.Classes, old.given) {
+		return old, nil
+	}
+	if to.keeps {
+		log.Warn("settings read again: while messages are held, other settings of the platform wait for the next start")
+		return old, nil
+	}
+	words := wordsOf(c.Names.Classes)
+	classes := make([]state.NamedClass, len(c.Settings.Classes))
+	for i, k := range c.Settings.Classes {
+		classes[i] = state.NamedClass{Name: words[i], Class: k}
+	}
+	done := make(chan state.Retuned, 1)
+	if !to.loop.PostBefore(state.Retune{Settings: c.Settings, Classes: classes, Done: done}, time.Now().Add(tuneSpan)) {
+		return old, errors.New("settings: the loop does not take them")
+	}
+	r := <-done
+	if r.Err != nil {
+		return old, fmt.Errorf("settings: %w", r.Err)
+	}
+	now := old
+	now.given = c.Settings.Classes
+	now.Names, now.Settings = c.Names, c.Settings
+	now.Names.Classes, now.Names.Kinds = r.Numbers, old.Names.Kinds
+	now.Settings.Classes, now.Settings.Seed, now.Settings.CanTell = r.Classes, old.Settings.Seed, old.Settings.CanTell
+	now.Settings.Siblings, now.Settings.Index, now.Settings.Kinds = old.Settings.Siblings, old.Settings.Index, old.Settings.Kinds
+	to.listener.Rename(now.Names, now.Settings.Classes)
+	return now, nil
+}
+
 // renewOurs takes over what a script may change as the sender runs: bounds, pace
 // and rules. Where the store and the admin plane are waits for the next start.
 func renewOurs(old, new *settings.Settings, log *slog.Logger) *settings.Settings {
@@ -221,12 +309,27 @@
 	})
 }
 
-// openPlane opens the admin plane, if the settings ask for one.
-func openPlane(c Config, keeper *held.Keeper, log *slog.Logger) (*admin.Server, error) {
-	if c.Ours == nil || c.Ours.Admin == nil || keeper == nil {
-		return nil, nil
+// openPlane opens the fronts of the admin plane that are asked for: the Unix socket by the settings,
+// the second address by the configuration.
+func openPlane(c Config, keeper *held.Keeper, post *station, log *slog.Logger) (*admin.Server, *admin.Front, error) {
+	var plane *admin.Server
+	var front *admin.Front
+	var err error
+	if c.Ours != nil && c.Ours.Admin != nil {
+		var k admin.Keeper // an interface that holds a nil keeper is not nil
+		if keeper != nil {
+			k = keeper
+		}
+		if plane, err = admin.Listen(c.Ours.Admin.Socket, k, post, log); err != nil {
+			return nil, nil, err
+		}
 	}
-	return admin.Listen(c.Ours.Admin.Socket, keeper, log)
+	if c.Admin != "" {
+		if front, err = admin.ListenTCP(c.Admin, post, log); err != nil && plane != nil {
+			plane.Close()
+		}
+	}
+	return plane, front, err
 }
 
 // wind brings a sender to its end, counted from the signal.
@@ -259,6 +362,10 @@
 // ones to targets, besides those of calls that are out. Clients may hold a
 // third of all for requests, and some connect that have none.
 func shareSockets(c Config) (clients, idle int) {
-	left := max(c.Limits.Sockets-spareSockets-c.Settings.Slots, 12)
+	left := c.Limits.Sockets - spareSockets - c.Settings.Slots
+	if c.Admin != "" {
+		left -= admin.FrontPlaces
+	}
+	left = max(left, 12)
 	return left * 2 / 3, left / 3
 }
--- a/internal/protocol/listener.go
+++ b/internal/protocol/listener.go
@@ -23,6 +23,7 @@
 	answerSpan = 300 * time.Millisecond  // ... and answered within this, as clients wait 400 ms
 	lastLook   = 20 * time.Millisecond   // one that is to end: a request on its way still gets its answer
 	shedSpan   = 500 * time.Millisecond  // what is left of a request too long is read for so long
+	awaySpan   = time.Second             // a drained sender still takes messages on for so long, in which the front notices
 	busyPause  = time.Second             // when to come again if the loop is not to be had
 )
 
@@ -35,14 +36,14 @@
 // Listener is the clients' side.
 type Listener struct {
 	to      Intake
-	names   Names
-	classes []control.Class
+	terms   atomic.Pointer[terms]
 	log     *slog.Logger
 	sock    net.Listener
 	places  chan struct{} // holds a token for each connection
 	closing atomic.Bool
-	leaving atomic.Bool // messages are still taken, each as the last on its connection
-	crowded atomic.Bool // a connection waits for a place: others end after their answer
+	leaving atomic.Bool  // messages are still taken, each as the last on its connection
+	crowded atomic.Bool  // a connection waits for a place: others end after their answer
+	away    atomic.Int64 // since when clients are sent away, Unix time in nanoseconds; 0 = they are not
 	wg      sync.WaitGroup
 
 	keep   int     // so many connections are kept after a request
@@ -53,6 +54,15 @@
 	served int // of those, the ones that had a request
 }
 
+// terms are the words of the settings in force, and the classes that they number.
+type terms struct {
+	names   Names
+	classes []control.Class
+}
+
+// Rename has requests read by other words from now on.
+func (l *Listener) Rename(n Names, classes []control.Class) { l.terms.Store(&terms{n, classes}) }
+
 // Claimer is asked before a message with a key is taken on: one of that key may be
 // kept for later. False: it is on its way, and the client should come again.
 type Claimer interface {
@@ -81,9 +91,10 @@
 		return nil, err
 	}
 	l := &Listener{
-		to: to, names: n, classes: classes, log: log, sock: sock,
+		to: to, log: log, sock: sock,
 		places: make(chan struct{}, most), keep: keep, open: map[*client]struct{}{},
 	}
+	l.Rename(n, classes)
 	l.wg.Add(1) // for Serve
 	return l, nil
 }
@@ -157,7 +168,7 @@
 
 // ending tells that connections are to end after the answer under way.
 func (l *Listener) ending() bool {
-	if l.closing.Load() || l.leaving.Load() || l.crowded.Load() {
+	if l.closing.Load() || l.leaving.Load() || l.crowded.Load() || l.away.Load() != 0 {
 		return true
 	}
 	l.mu.Lock()
@@ -169,18 +180,40 @@
 // send nothing more on it, while a plain close could cross a request.
 func (l *Listener) Leave() { l.leaving.Store(true) }
 
-// Close ends accepting, closes idle connections and lets the others end with
-// the answer that is under way. It waits for them until the deadline.
-func (l *Listener) Close(deadline time.Time) {
-	l.closing.Store(true)
-	l.sock.Close()
+// Drain sends clients away: health says no, connections end with their next answer, idle ones at once,
+// and after a while messages get a fixed response. What was taken on is not touched.
+func (l *Listener) Drain() {
+	if l.away.CompareAndSwap(0, time.Now().UnixNano()) {
+		l.endIdle()
+	}
+}
+
+// Activate takes clients back.
+func (l *Listener) Activate() { l.away.Store(0) }
+
+// endIdle gives connections between requests a last look.
+func (l *Listener) endIdle() {
 	l.mu.Lock()
+	defer l.mu.Unlock()
 	for k := range l.open {
 		if k.idle {
 			k.SetReadDeadline(time.Now().Add(lastLook))
 		}
 	}
-	l.mu.Unlock()
+}
+
+// turnsAway tells whether a drained sender takes no message on any more.
+func (l *Listener) turnsAway() bool {
+	since := l.away.Load()
+	return since != 0 && time.Since(time.Unix(0, since)) > awaySpan
+}
+
+// Close ends accepting, closes idle connections and lets the others end with
+// the answer that is under way. It waits for them until the deadline.
+func (l *Listener) Close(deadline time.Time) {
+	l.closing.Store(true)
+	l.sock.Close()
+	l.endIdle()
 	done := make(chan struct{})
 	go func() { l.wg.Wait(); close(done) }()
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
@@ -202,7 +235,7 @@
 		k.SetDeadline(began.Add(readSpan))
 	case !idle:
 		k.SetDeadline(k.since.Add(readSpan))
-	case l.closing.Load() || l.crowded.Load() && k.served:
+	case l.closing.Load() || (l.crowded.Load() || l.away.Load() != 0) && k.served:
 		k.SetDeadline(k.since.Add(lastLook))
 	case !k.served:
 		k.SetDeadline(k.since.Add(readSpan))
@@ -262,7 +295,8 @@
 	if r.Header.Get("Expect") != "" && r.ContentLength <= state.MaxBody {
 		io.WriteString(k, "HTTP/1.1 100 Continue\r\n\r\n")
 	}
-	m, err := takeIn(r, arrived, l.names, l.classes)
+	words := l.terms.Load()
+	m, err := takeIn(r, arrived, words.names, words.classes)
 	var f *fault
 	errors.As(err, &f)
 	// A body that nobody wanted must not be taken for the next request.
@@ -276,6 +310,9 @@
 		if l.closing.Load() {
 			return l.reply(k, http.StatusServiceUnavailable, 0, "stopping", true)
 		}
+		if l.away.Load() != 0 {
+			return l.reply(k, http.StatusServiceUnavailable, 0, "drained", true)
+		}
 		return l.reply(k, http.StatusOK, 0, "ok", last)
 	}
 	return l.hand(k, m, last)
@@ -295,6 +332,9 @@
 
 // hand gives a message to the loop and its client the verdict.
 func (l *Listener) hand(k *client, m *state.Message, last bool) bool {
+	if l.turnsAway() {
+		return l.reply(k, http.StatusServiceUnavailable, busyPause, "drained", true)
+	}
 	verdict := make(chan state.Verdict, 1)
 	limit := time.Now().Add(answerSpan)
 	if l.claims != nil && m.Key != "" && !l.claims.Claim(m.Class, m.Key, limit) {
--- a/internal/protocol/socket_test.go
+++ b/internal/protocol/socket_test.go
@@ -534,3 +534,77 @@
 		t.Errorf("acknowledged %v, told %q", nums, got)
 	}
 }
+
+// A drained sender says no, ends connections with their answers and idle ones at once, and turns messages away after a
+// while, with a time to come back; activated, it is as before.
+func TestDrainedListener(t *testing.T) {
+	p := newPosts()
+	p.verdict = state.Verdict{Taken: true}
+	classes := []control.Class{{Deadline: time.Minute, Effect: control.Safe}}
+	l, err := Listen("127.0.0.1:0", p, Names{Classes: map[string]int{"status": 0}}, classes, 8, 8, quiet)
+	if err != nil {
+		t.Fatal(err)
+	}
+	go l.Serve()
+	defer l.Close(time.Now().Add(time.Minute))
+	open := func() (net.Conn, *bufio.Reader) {
+		c, err := net.Dial("tcp", l.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { c.Close() })
+		c.SetDeadline(time.Now().Add(20 * time.Second))
+		return c, bufio.NewReader(c)
+	}
+	ask := func(c net.Conn, in *bufio.Reader, request string) *http.Response {
+		t.Helper()
+		io.WriteString(c, request)
+		r, err := http.ReadResponse(in, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		io.Copy(io.Discard, r.Body)
+		return r
+	}
+	const health = "GET /_health HTTP/1.1\r\nHost: x\r\n\r\n"
+	n := 0
+	message := func() string {
+		n++
+		return fmt.Sprintf("POST /status HTTP/1.1\r\nHost: x\r\nX-Request-Id: m%d\r\nX-Deadline: 5\r\nX-Addressing: dest=1\r\nContent-Length: 0\r\n\r\n", n)
+	}
+	held, heldIn := open()
+	if r := ask(held, heldIn, message()); r.StatusCode != http.StatusAccepted || r.Close {
+		t.Fatalf("before: %d, close %v", r.StatusCode, r.Close)
+	}
+	l.Drain()
+	if _, err := heldIn.ReadByte(); err != io.EOF { // it was idle
+		t.Errorf("an idle connection: %v", err)
+	}
+	for _, c := range []struct {
+		name, request string
+		since         time.Duration // before now
+		status        int
+	}{
+		{"health", health, 0, http.StatusServiceUnavailable},
+		{"a message at once", message(), 0, http.StatusAccepted},
+		{"a message later", message(), awaySpan + time.Second, http.StatusServiceUnavailable},
+		{"health later", health, awaySpan + time.Second, http.StatusServiceUnavailable},
+	} {
+		l.away.Store(time.Now().Add(-c.since).UnixNano())
+		conn, in := open()
+		r := ask(conn, in, c.request)
+		if r.StatusCode != c.status || !r.Close {
+			t.Errorf("%s: %d, close %v", c.name, r.StatusCode, r.Close)
+		}
+		if again := r.Header.Get("Retry-After"); strings.HasPrefix(c.name, "a message later") != (again != "") {
+			t.Errorf("%s: Retry-After %q", c.name, again)
+		}
+	}
+	l.Activate()
+	conn, in := open()
+	for _, request := range []string{health, message(), health} {
+		if r := ask(conn, in, request); r.StatusCode >= 300 || r.Close {
+			t.Errorf("activated: %d, close %v", r.StatusCode, r.Close)
+		}
+	}
+}
--- a/internal/state/admit.go
+++ b/internal/state/admit.go
@@ -52,7 +52,7 @@
 		h.Verdict <- Verdict{Again: l.pause(fullPause)}
 		return
 	}
-	e := &entry{Message: h.Message, num: l.table.next, verdict: h.Verdict}
+	e := &entry{Message: h.Message, num: l.table.next, verdict: h.Verdict, class: l.table.classes.record(h.Message.Class)}
 	l.table.add(e)
 	l.fresh = append(l.fresh, e)
 	l.hand(e, false)
--- /dev/null
+++ b/internal/state/classes.go
@@ -0,0 +1,168 @@
+package state
+
+import (
+	"encoding/binary"
+	"errors"
+	"math"
+	"time"
+
+	"cleathold/control"
+)
+
+// A message keeps the class that it came with: when the settings change under it, and over a restart with
+// other settings. So classes are numbered by name and figures, a number is never given to another one, and
+// the journal's record of a message holds its class whole.
+
+// classesMost bounds the classes that one process comes to know: settings may change all day.
+const classesMost = 1024
+
+var (
+	errClasses = errors.New("too many classes since the start; restart the sender to begin anew")
+	errGiven   = errors.New("another process has taken over")
+	errDirty   = errors.New("the journal can't be written")
+)
+
+// A NamedClass is a class as the settings name it.
+type NamedClass struct {
+	Name string
+	control.Class
+}
+
+// classBook numbers classes.
+type classBook struct {
+	list    []NamedClass
+	records []string // as they stand in the journal
+}
+
+// number returns the number of a class, a new one if it is not known.
+func (b *classBook) number(c NamedClass) int {
+	for i, known := range b.list {
+		if known == c {
+			return i
+		}
+	}
+	b.list = append(b.list, c)
+	b.records = append(b.records, string(classRecord(c)))
+	return len(b.list) - 1
+}
+
+// record is a class as it stands in the journal; nothing for a number that is not known.
+func (b *classBook) record(number int) string {
+	if number < 0 || number >= len(b.records) {
+		return ""
+	}
+	return b.records[number]
+}
+
+// classes lists them as the controller wants them.
+func (b *classBook) classes() []control.Class {
+	list := make([]control.Class, len(b.list))
+	for i, c := range b.list {
+		list[i] = c.Class
+	}
+	return list
+}
+
+// The bits of a class's record.
+const (
+	classZone = 1 << iota
+	classInOrder
+	classStreamed
+)
+
+func classRecord(c NamedClass) []byte {
+	p := text(nil, c.Name)
+	bits := byte(0)
+	for _, f := range []struct {
+		on  bool
+		bit byte
+	}{{c.ZoneScope, classZone}, {c.InOrder, classInOrder}, {c.Streamed, classStreamed}} {
+		if f.on {
+			bits |= f.bit
+		}
+	}
+	p = append(p, byte(c.Effect), bits)
+	for _, d := range []time.Duration{c.Aim, c.Deadline, c.Memory} {
+		p = binary.AppendVarint(p, int64(d))
+	}
+	for _, v := range []float64{c.AimStretch, c.Worth, c.LateWorth} {
+		p = binary.LittleEndian.AppendUint64(p, math.Float64bits(v))
+	}
+	return p
+}
+
+// class reads such a record; one that makes no sense is a misfit.
+func (s *scan) class() NamedClass {
+	c := NamedClass{Name: s.text()}
+	c.Effect = control.Effect(s.octet())
+	bits := s.octet()
+	c.ZoneScope, c.InOrder, c.Streamed = bits&classZone != 0, bits&classInOrder != 0, bits&classStreamed != 0
+	for _, d := range []*time.Duration{&c.Aim, &c.Deadline, &c.Memory} {
+		*d = time.Duration(s.number())
+	}
+	for _, v := range []*float64{&c.AimStretch, &c.Worth, &c.LateWorth} {
+		*v = s.float()
+	}
+	s.bad = s.bad || c.Effect > control.Unsafe || c.Deadline <= 0 || c.Aim < 0 || c.Memory < 0
+	return c
+}
+
+func (s *scan) octet() byte {
+	if len(s.rest) < 1 {
+		s.bad, s.rest = true, nil
+		return 0
+	}
+	v := s.rest[0]
+	s.rest = s.rest[1:]
+	return v
+}
+
+func (s *scan) float() float64 {
+	if len(s.rest) < 8 {
+		s.bad, s.rest = true, nil
+		return 0
+	}
+	v := math.Float64frombits(binary.LittleEndian.Uint64(s.rest))
+	s.rest = s.rest[8:]
+	if math.IsNaN(v) || math.IsInf(v, 0) {
+		s.bad = true
+	}
+	return v
+}
+
+// Retune is new settings under way. Classes holds their classes with names.
+type Retune struct {
+	Settings control.Settings
+	Classes  []NamedClass
+	Done     chan<- Retuned // takes one without blocking
+}
+
+// Retuned tells the numbers of the classes that hold now, by name, or why the old settings stay.
+type Retuned struct {
+	Numbers map[string]int
+	Classes []control.Class // by number, those of before included
+	Err     error
+}
+
+// retune takes new settings, or none of them.
+func (l *Loop) retune(r Retune) {
+	if len(l.table.classes.list)+len(r.Classes) > classesMost {
+		r.Done <- Retuned{Err: errClasses}
+		return
+	}
+	book := &classBook{list: l.table.classes.list, records: l.table.classes.records}
+	numbers := make(map[string]int, len(r.Classes))
+	for _, c := range r.Classes {
+		numbers[c.Name] = book.number(c)
+	}
+	r.Settings.Classes = book.classes()
+	if err := l.ctl.Retune(l.since(), r.Settings); err != nil {
+		r.Done <- Retuned{Err: err}
+		return
+	}
+	l.table.classes = book
+	set := r.Settings
+	set.Kinds = l.set.Kinds
+	l.set = set
+	r.Done <- Retuned{Numbers: numbers, Classes: set.Classes}
+}
--- /dev/null
+++ b/internal/state/classes_test.go
@@ -0,0 +1,100 @@
+package state
+
+import (
+	"testing"
+	"time"
+
+	"cleathold/control"
+	"cleathold/internal/store"
+)
+
+// A message keeps its class over a restart with other settings: of the same name and stricter, in another order, or
+// gone. Numbers of classes that hold are those of the settings.
+func TestClassOutlastsSettings(t *testing.T) {
+	named := func(name string, e control.Effect) NamedClass {
+		return NamedClass{name, control.Class{Aim: time.Second, Deadline: time.Minute, Worth: 1, LateWorth: 0.25, Effect: e, Memory: 12 * time.Second, ZoneScope: e == control.Keyed}}
+	}
+	book := func(list ...NamedClass) *classBook {
+		b := &classBook{}
+		for _, c := range list {
+			b.number(c)
+		}
+		return b
+	}
+	safe, keyed := named("status", control.Safe), named("print-order", control.Keyed)
+	for _, c := range []struct {
+		name  string
+		after *classBook
+		want  int
+	}{
+		{"the same", book(safe, keyed), 1},
+		{"another order", book(keyed, safe), 0},
+		{"stricter", book(safe, named("print-order", control.Unsafe)), 2},
+		{"gone", book(safe), 1},
+		{"another name", book(safe, named("order", control.Keyed)), 2},
+	} {
+		dir := t.TempDir()
+		j, table, err := openJournal(dir, 1e6, store.Process, 0, book(safe, keyed), quiet)
+		if err != nil {
+			t.Fatal(err)
+		}
+		m := &Message{ID: "a", Key: "k", Class: 1, Deadline: time.Now().Add(time.Minute), Body: []byte("body")}
+		e := &entry{Message: m, num: table.next, class: table.classes.record(1)}
+		table.add(e)
+		j.take(e)
+		if err := j.flush(); err != nil {
+			t.Fatal(err)
+		}
+		j.close()
+		j, table, err = openJournal(dir, 1e6, store.Process, 0, c.after, quiet)
+		if err != nil {
+			t.Fatal(err)
+		}
+		got := table.ordered()
+		if len(got) != 1 || got[0].Class != c.want || table.classes.list[c.want] != keyed || string(got[0].Body) != "body" {
+			t.Errorf("%s: %d messages, class %d, want %d", c.name, len(got), got[0].Class, c.want)
+		}
+		j.close()
+	}
+}
+
+// New settings under way: the loop numbers their classes, a message under way keeps its own, the bound on classes
+// turns down what would pass it, and what the controller won't have changes nothing.
+func TestRetuneLoop(t *testing.T) {
+	l, o := loop(t, t.TempDir(), 1e6)
+	start(t, l)
+	tune := func(classes []NamedClass, change func(*control.Settings)) Retuned {
+		set := l.set
+		change(&set)
+		done := make(chan Retuned, 1)
+		l.Post(Retune{Settings: set, Classes: classes, Done: done})
+		return get(t, done)
+	}
+	get(t, handIn(l, "a", 10))
+	l.Post(Answered{ID: "a", OK: true})
+	c := get(t, o.calls)
+	strict := NamedClass{"status", control.Class{Aim: time.Second, Deadline: time.Minute, Worth: 1, Effect: control.Unsafe}}
+	r := tune([]NamedClass{strict}, func(*control.Settings) {})
+	if r.Err != nil || r.Numbers["status"] != 3 && r.Numbers["status"] != 2 {
+		t.Fatalf("%+v", r)
+	}
+	if n := r.Numbers["status"]; r.Classes[n].Effect != control.Unsafe || r.Classes[0].Effect != control.Safe {
+		t.Fatalf("%+v", r)
+	}
+	// It was safe when it came: broken off, it goes again.
+	l.Post(Ended{c, []End{{Forward: c.Forwards[0], Result: control.Broken}}})
+	if again := get(t, o.calls); again.Forwards[0].Message.ID != "a" {
+		t.Errorf("%+v", again.Forwards[0].Message)
+	}
+	many := make([]NamedClass, classesMost)
+	for i := range many {
+		many[i] = strict
+		many[i].Aim = time.Duration(i)
+	}
+	if r := tune(many, func(*control.Settings) {}); r.Err == nil {
+		t.Error("classes without bound")
+	}
+	if r := tune([]NamedClass{strict}, func(s *control.Settings) { s.Slots = 0 }); r.Err == nil {
+		t.Error("settings that make no sense are taken")
+	}
+}
--- a/internal/state/journal.go
+++ b/internal/state/journal.go
@@ -119,10 +119,7 @@
 	p = binary.AppendVarint(p, e.Deadline.UnixMicro())
 	p = flag(p, e.Again)
 	p = text(p, string(e.Body))
-	if e.seq > 0 {
-		p = binary.AppendUvarint(p, e.seq)
-	}
-	return p
+	return append(binary.AppendUvarint(p, e.seq), e.class...)
 }
 
 func forwardRecord(num control.MessageID, s sent) []byte {
@@ -222,7 +219,7 @@
 
 // openJournal reads what the folder's journal tells is owed. The file of a program
 // from before the store is taken over.
-func openJournal(dir string, limit int64, d store.Durability, wait time.Duration, log *slog.Logger) (*journal, *table, error) {
+func openJournal(dir string, limit int64, d store.Durability, wait time.Duration, classes *classBook, log *slog.Logger) (*journal, *table, error) {
 	if err := os.MkdirAll(dir, 0o700); err != nil {
 		return nil, nil, fmt.Errorf("journal: %w", err)
 	}
@@ -235,7 +232,7 @@
 		return nil, nil, fmt.Errorf("journal: %w", err)
 	}
 	j.store = s
-	t, err := tableOf(s, log)
+	t, err := tableOf(s, classes, log)
 	if err != nil {
 		s.Close()
 		return nil, nil, err
@@ -245,8 +242,9 @@
 
 // tableOf makes a table of what a store tells is owed. A message of which a damage
 // may hide a record counts as one that may have run.
-func tableOf(s *store.Store, log *slog.Logger) (*table, error) {
+func tableOf(s *store.Store, classes *classBook, log *slog.Logger) (*table, error) {
 	t := newTable()
+	t.classes = classes
 	doubtful := 0
 	var failed error
 	s.Entities(func(e store.Entity) bool {
@@ -295,7 +293,7 @@
 		return nil, fmt.Errorf("journal: %w", err)
 	}
 	defer s.Close()
-	return tableOf(s, log)
+	return tableOf(s, &classBook{}, log)
 }
 
 // A scan takes a payload apart; after the first misfit everything is zero and bad is set.
@@ -351,8 +349,13 @@
 		if len(s.rest) > 0 {
 			seq = s.count()
 		}
+		if len(s.rest) > 0 { // its class, as it was when the message came
+			if c := s.class(); !s.bad {
+				m.Class = t.classes.number(c)
+			}
+		}
 		if !s.bad && e == nil {
-			t.add(&entry{Message: m, num: num, answered: true, seq: seq})
+			t.add(&entry{Message: m, num: num, answered: true, seq: seq, class: t.classes.record(m.Class)})
 		}
 	case recForward:
 		f := sent{attempt: int(s.count()), at: time.UnixMicro(s.number()), zone: int(s.number())}
--- a/internal/state/journal_test.go
+++ b/internal/state/journal_test.go
@@ -20,7 +20,7 @@
 // open opens the journal of a folder.
 func open(t *testing.T, dir string, limit int64) (*journal, *table) {
 	t.Helper()
-	j, table, err := openJournal(dir, limit, store.Process, 0, quiet)
+	j, table, err := openJournal(dir, limit, store.Process, 0, &classBook{}, quiet)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/state/loop.go
+++ b/internal/state/loop.go
@@ -16,12 +16,15 @@
 // Setup is what a loop is built from.
 type Setup struct {
 	Settings  control.Settings
+	Classes   []string // names of the classes in the settings, by their numbers
 	Known     News
 	Dir       string
 	DiskBytes int64
 	Log       *slog.Logger
 	Keeper    Keeper // nil: what can't be delivered is not kept
 
+	Estate *Estate // of a process before this one that runs on; nil: there is none
+
 	Durability store.Durability // of the journal
 	GroupWait  time.Duration    // where that is Group
 
@@ -65,6 +68,12 @@
 	backlog  []any         // events of the loop's own making, for the next round
 	out      map[*Call]int // forwards without an end
 	flying   int           // calls with the carrier
+
+	leaving     *GiveWay // asked for in this round
+	heir        Heir     // to whom everything was given
+	abroad      map[abroad]bool
+	abroadCalls int // slots that they take
+
 	begun    bool
 	stopped  bool // no new messages
 	halted   bool // no new forwards
@@ -76,13 +85,22 @@
 	if s.Clock == nil {
 		s.Clock = time.Now
 	}
+	classes := &classBook{}
+	for i, c := range s.Settings.Classes {
+		named := NamedClass{Class: c}
+		if i < len(s.Classes) {
+			named.Name = s.Classes[i]
+		}
+		classes.list, classes.records = append(classes.list, named), append(classes.records, string(classRecord(named)))
+	}
 	j, t, err := &journal{limit: s.DiskBytes, nowhere: true}, newTable(), error(nil)
-	if !s.NoDir {
-		j, t, err = openJournal(s.Dir, s.DiskBytes, s.Durability, s.GroupWait, s.Log)
+	if t.classes = classes; !s.NoDir {
+		j, t, err = openJournal(s.Dir, s.DiskBytes, s.Durability, s.GroupWait, classes, s.Log)
 	}
 	if err != nil {
 		return nil, err
 	}
+	s.Settings.Classes = classes.classes() // with those of messages from before other settings
 	l := &Loop{
 		set: s.Settings, log: s.Log, keeper: s.Keeper, events: make(chan any, 2*roundMost),
 		clock: s.Clock, start: s.Clock(), table: t, group: newGroup(), journal: j,
@@ -91,7 +109,11 @@
 	if l.ctl, err = control.New(s.Settings, (*actions)(l)); err != nil {
 		return nil, err
 	}
-	l.backlog = append(l.backlog, s.Known)
+	if s.Estate != nil {
+		l.inherit(s.Estate)
+	} else {
+		l.backlog = append(l.backlog, s.Known)
+	}
 	return l, nil
 }
 
@@ -145,13 +167,21 @@
 
 // Close lets go of the journal, as the end of the process would. Run does it by itself.
 func (l *Loop) Close() {
+	if l.heir != nil {
+		return // it was closed when it was given
+	}
 	if err := l.journal.close(); err != nil {
 		l.log.Error("journal not closed", "err", err)
 	}
 }
 
 // Quiet is Idle for one who calls Step.
-func (l *Loop) Quiet() bool { return l.table.idle() || l.halted && len(l.out) == 0 }
+func (l *Loop) Quiet() bool {
+	if l.heir != nil {
+		return len(l.out)+len(l.abroad) == 0
+	}
+	return l.table.idle() || l.halted && len(l.out)+len(l.abroad) == 0
+}
 
 // Run runs rounds until the context ends. In a round all events that are in
 // are handed on, the controller decides once, and what it did is settled.
@@ -189,7 +219,7 @@
 		if e.notice != nil && e.seq == 0 {
 			l.notifier.Tell(*e.notice)
 		}
-		if e.notice != nil {
+		if e.notice != nil || e.abroad > 0 {
 			continue
 		}
 		l.hand(e, true)
@@ -222,6 +252,12 @@
 	l.now = l.clock()
 	events := l.backlog
 	l.backlog = nil
+	if l.heir != nil {
+		for _, e := range events {
+			l.pass(e)
+		}
+		return
+	}
 	for _, e := range events {
 		l.handle(e)
 	}
@@ -238,6 +274,9 @@
 		l.ctl.Decide(l.since())
 	}
 	l.settle()
+	if l.leaving != nil {
+		l.leave()
+	}
 }
 
 // since is the controller's clock.
@@ -271,6 +310,14 @@
 		l.stopped = true
 	case halting:
 		l.halted = true
+	case Retune:
+		l.retune(e)
+	case GiveWay:
+		l.giveWay(e)
+	case Returned:
+		l.returned(e)
+	case Lost:
+		l.lost()
 	case inspect:
 		e()
 	}
@@ -294,7 +341,7 @@
 	clear(l.round)
 	// A call that was parted by its size takes a slot more than the controller
 	// knows of: it waits for one.
-	wait := l.ready[min(len(l.ready), max(0, l.set.Slots-l.flying)):]
+	wait := l.ready[min(len(l.ready), max(0, l.set.Slots-l.flying-l.abroadCalls)):]
 	l.ready = l.ready[:len(l.ready)-len(wait)]
 	for _, c := range l.ready {
 		l.recordCall(c)
--- a/internal/state/table.go
+++ b/internal/state/table.go
@@ -20,7 +20,9 @@
 	alone    bool    // goes in a call by itself: a target could not use one that it shared
 	notice   *Notice // ended, and the platform is owed this
 	cost     int64   // what it may take in the journal
+	class    string  // its class as it stands there
 	flights  int     // forwards without an end
+	abroad   int     // forwards out at another process of this sender; until they are known it waits
 
 	// Where a keeper is connected.
 	seq      uint64        // the keeper's record that this sends again; 0 = a client's message
@@ -62,6 +64,7 @@
 	kept    int64           // of those, the bytes of messages that a keeper does not have yet
 	past    map[string]bool // ids of messages that are over...
 	expiry  []pastID        // ...until a time, in the order of it
+	classes *classBook
 }
 
 // pastID is an id that is not taken again before a time.
@@ -95,7 +98,7 @@
 }
 
 func newTable() *table {
-	return &table{entries: map[control.MessageID]*entry{}, ids: map[string]*entry{}, past: map[string]bool{}, next: 1}
+	return &table{entries: map[control.MessageID]*entry{}, ids: map[string]*entry{}, past: map[string]bool{}, next: 1, classes: &classBook{}}
 }
 
 // add enters a message that is open.
