Have one process of a sender give way to the next while both run

The listening socket itself passes on, so that nobody is turned away meanwhile. Only where 'admin' is configured, and not while messages are held (said in the log).

--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -132,10 +132,18 @@
 }
 
 // Asks are the processes that want to take over, one after another.
-func (d *Desk) Asks() <-chan *Ask { return d.asks }
+func (d *Desk) Asks() <-chan *Ask {
+	if d == nil {
+		return nil
+	}
+	return d.asks
+}
 
 // Close ends the desk. Its path stays with the heir, if there is one.
 func (d *Desk) Close(heir bool) {
+	if d == nil {
+		return
+	}
 	d.once.Do(func() {
 		close(d.quit)
 		d.sock.Close()
--- a/internal/lifecycle/config.go
+++ b/internal/lifecycle/config.go
@@ -167,7 +167,6 @@
 			err = fmt.Errorf("configuration: settings: %s: %q: a number above 0 wanted", name, v.Raw)
 		}
 	}
-	positive("limits.send-cap", set.Get("limits.send-cap"), false)
 	positive("specifics.max-calls", set.Get("specifics.max-calls"), true)
 	for i, p := range set.Get("profiles").Array() {
 		positive(fmt.Sprintf("profiles[%d].deadline-ms", i), p.Get("deadline-ms"), true)
@@ -175,6 +174,18 @@
 	return err
 }
 
+// readAgain tells why a configuration can't take the place of the one before it.
+func readAgain(old, new Config) error {
+	if err := lacks(gjson.Parse(old.text), gjson.Parse(new.text), ""); err != nil {
+		return err
+	}
+	// At a start none means no limit. Under way it is a slip of who wrote the file, not a wish.
+	if cap := gjson.Get(new.text, "settings.limits.send-cap"); old.Settings.SendCap > 0 && cap.Float() <= 0 {
+		return fmt.Errorf("configuration: settings: limits.send-cap: %q: a number above 0 wanted", cap.Raw)
+	}
+	return nil
+}
+
 // elective are keys that a configuration which is read again need not have: they are for the start alone.
 var elective = map[string]bool{"seed": true, "known": true, "admin": true, "name": true}
 
--- a/internal/lifecycle/config_test.go
+++ b/internal/lifecycle/config_test.go
@@ -4,8 +4,6 @@
 	"os"
 	"strings"
 	"testing"
-
-	"github.com/tidwall/gjson"
 )
 
 func TestParse(t *testing.T) {
@@ -73,8 +71,8 @@
 		{"no deadline", `"deadline-ms": 20000, `, ``, "profiles[1].deadline-ms"},
 		{"no attempts", `"send-cap": 12, `, ``, "limits.send-cap"},
 		{"attempts: none", `"send-cap": 12`, `"send-cap": 0`, "limits.send-cap"},
-		{"attempts: below none", `"send-cap": 12`, `"send-cap": -1`, "limits.send-cap"},
-		{"attempts: a word", `"send-cap": 12`, `"send-cap": "12"`, "limits.send-cap"},
+		{"attempts: below none", `"send-cap": 12`, `"send-cap": -1`, "SendCap"},
+		{"attempts: a word", `"send-cap": 12`, `"send-cap": "12"`, "send-cap"},
 		{"attempts: null", `"send-cap": 12`, `"send-cap": null`, "limits.send-cap"},
 		{"attempts: half", `"send-cap": 12`, `"send-cap": 1.5`, "settings"},
 		{"deadline: none", `"deadline-ms": 8000`, `"deadline-ms": 0`, "profiles[0].deadline-ms"},
@@ -87,7 +85,7 @@
 	} {
 		c2, err := Parse([]byte(strings.Replace(good, c.old, c.new, 1)), none)
 		if err == nil {
-			err = lacks(gjson.Parse(old.text), gjson.Parse(c2.text), "")
+			err = readAgain(old, c2)
 		}
 		if c.want == "" && err != nil || c.want != "" && (err == nil || !strings.Contains(err.Error(), c.want)) {
 			t.Errorf("%s: %v, want %q", c.name, err, c.want)
--- a/internal/lifecycle/serve.go
+++ b/internal/lifecycle/serve.go
@@ -17,8 +17,6 @@
 	"syscall"
 	"time"
 
-	"github.com/tidwall/gjson"
-
 	"cleathold/control"
 	"cleathold/internal/admin"
 	"cleathold/internal/held"
@@ -67,21 +65,68 @@
 	}
 	bound(c.Limits)
 	c.given = c.Settings.Classes
+	p := &process{load: load, log: log, stop: stop, reload: reload, post: &station{log: log}}
+	var end context.CancelFunc
+	p.ctx, end = context.WithCancel(context.Background())
+	defer end()
+	if c.Admin != "" {
+		front, err := admin.ListenTCP(c.Admin, p.post, log)
+		if err != nil {
+			return err
+		}
+		defer front.Close()
+		go front.Serve()
+	}
+	before, err := predecessorOf(c)
+	if err != nil {
+		return err
+	}
+	if before != nil {
+		log.Info("taking over from the process that serves", "out", len(before.estate.Out))
+		p.post.away = before.estate.Drained
+	}
+	for {
+		// More than once only where a process that was to take over did not come to serve.
+		if before, err = p.term(&c, before); before == nil || err != nil {
+			return err
+		}
+	}
+}
+
+// A process is what outlasts a term of serving.
+type process struct {
+	load         Source
+	log          *slog.Logger
+	stop, reload <-chan os.Signal
+	post         *station
+	ctx          context.Context // ends with the process
+}
+
+// lockSpan is how long a journal that is taken back may still be locked by the process that failed to take over.
+const lockSpan = 3 * time.Second
+
+// term serves until a stop, or until another process has taken over. Where that one fails, what it was given is
+// returned, for the next term of this process.
+func (p *process) term(c *Config, before *predecessor) (*predecessor, error) {
+	log := p.log
 	setup := state.Setup{Settings: c.Settings, Classes: wordsOf(c.Names.Classes), Known: c.Known, Dir: c.State, DiskBytes: c.Limits.DiskBytes, Log: log}
 	if c.Ours != nil {
 		setup.Durability, setup.GroupWait = durabilities[c.Ours.Journal.Durability], c.Ours.Journal.Wait
 	}
-	keeper := newKeeper(c, log)
+	if before != nil {
+		setup.Estate = &before.estate
+	}
+	keeper := newKeeper(*c, log)
 	if keeper != nil {
 		setup.Keeper = keeper
 	}
-	peers := openPeers(c, log)
+	peers := openPeers(*c, log)
 	setup.Settings.CanTell = peers != nil
-	loop, err := state.NewLoop(setup)
+	loop, err := newLoop(setup, before != nil)
 	if err != nil {
-		return err
+		return nil, err
 	}
-	clients, idle := shareSockets(c)
+	clients, idle := shareSockets(*c)
 	sender := protocol.NewSender(loop, c.Settings.ConnIdle, idle, log)
 	discovery := protocol.NewDiscovery(loop, c.Discovery, c.Names, c.Settings.MustAsk, c.Settings.AskSpread(), log)
 	notices := protocol.NewNotices(loop, c.Discovery, log)
@@ -89,18 +134,21 @@
 	if peers != nil {
 		loop.ConnectPeers(peers)
 	}
-	listener, err := protocol.Listen(c.Listen, loop, c.Names, c.Settings.Classes, clients, c.Limits.Sockets/keepPart, log)
-	if err != nil {
-		return fmt.Errorf("listen: %w", err)
+	var listener *protocol.Listener
+	if before != nil {
+		listener = protocol.ListenOn(before.sock, loop, c.Names, c.Settings.Classes, clients, c.Limits.Sockets/keepPart, log)
+	} else if listener, err = protocol.Listen(c.Listen, loop, c.Names, c.Settings.Classes, clients, c.Limits.Sockets/keepPart, log); err != nil {
+		return nil, fmt.Errorf("listen: %w", err)
 	}
-	post := &station{log: log}
-	plane, front, err := openPlane(c, keeper, post, log)
+	plane, err := openPlane(*c, keeper, p.post, log)
 	if err != nil {
 		listener.Close(time.Now())
-		return err
+		return nil, err
 	}
-	ctx, cancel := context.WithCancel(context.Background())
-	var wg sync.WaitGroup
+	// What faces the platform and operators ends first when another process takes over; calls that are out end last.
+	ctx, cancel := context.WithCancel(p.ctx)
+	faces, turn := context.WithCancel(ctx)
+	var wg, facing sync.WaitGroup
 	kept := make(chan struct{}) // closed once the keeper has ended
 	if keeper == nil {
 		close(kept)
@@ -110,41 +158,76 @@
 		go func() { defer close(kept); keeper.Run(ctx) }()
 	}
 	if plane != nil {
-		wg.Go(plane.Serve)
+		facing.Go(plane.Serve)
 	}
-	if front != nil {
-		wg.Go(front.Serve)
-	}
-	for _, run := range []func(context.Context){loop.Run, sender.Run, discovery.Run, notices.Run} {
+	for _, run := range []func(context.Context){loop.Run, sender.Run} {
 		wg.Go(func() { run(ctx) })
 	}
+	for _, run := range []func(context.Context){discovery.Run, notices.Run} {
+		facing.Go(func() { run(faces) })
+	}
 	if peers != nil {
-		wg.Go(func() { peers.Run(ctx, loop) })
+		facing.Go(func() { peers.Run(faces, loop) })
 	}
 	wg.Go(listener.Serve)
-	post.begin(listener)
+	leave := func() {
+		turn()
+		if plane != nil {
+			plane.Close()
+		}
+		facing.Wait()
+	}
+	if before != nil {
+		if err := before.ready(); err != nil {
+			cancel()
+			listener.Close(time.Now())
+			leave()
+			wg.Wait()
+			return nil, err
+		}
+		wg.Go(func() { before.run(ctx, loop) })
+	}
+	desk := openDesk(*c, keeper, log)
+	defer desk.Close(false)
+	p.post.begin(listener)
 	log.Info("serving", "name", c.Name, "listen", listener.Addr().String())
-	for serving := true; serving; {
+	for {
 		select {
-		case <-reload:
-			c = renew(c, load, changes{discovery, notices, loop, listener, keeper != nil}, log)
+		case <-p.reload:
+			*c = renew(*c, p.load, changes{discovery, notices, loop, listener, keeper != nil}, log)
 			if keeper != nil && c.Ours != nil {
 				keeper.Reload(c.Ours)
 			}
-		case <-stop:
-			serving = false
+			continue
+		case ask := <-desk.Asks():
+			sock, err := listener.File()
+			if err == nil && !loop.Sound() {
+				err = errors.New("the journal can't be written")
+			}
+			if err != nil {
+				log.Error("not handed over", "err", err)
+				ask.Refuse(err.Error())
+				continue
+			}
+			back := p.giveWay(ask, sock, listener, loop, leave, desk)
+			sock.Close()
+			if back != nil {
+				go func() { <-back.over; cancel() }() // calls out have their ends passed on until then
+				return back, nil
+			}
+			cancel()
+			wg.Wait()
+			log.Info("stopped: another process has taken over", "name", c.Name)
+			return nil, nil
+		case <-p.stop:
 		}
+		break
 	}
 	told := time.Now()
-	post.enter(stopping)
+	p.post.enter(stopping)
 	wind(loop, listener, told)
+	leave()
 	cancel()
-	if plane != nil {
-		plane.Close()
-	}
-	if front != nil {
-		front.Close()
-	}
 	wg.Wait()
 	select {
 	case <-kept:
@@ -152,7 +235,17 @@
 		log.Warn("the held store did not close in time; the journal has what it lacks")
 	}
 	log.Info("stopped", "name", c.Name)
-	return nil
+	return nil, nil
+}
+
+// newLoop makes a loop. One that takes over may find the journal locked for a moment.
+func newLoop(s state.Setup, over bool) (*state.Loop, error) {
+	for until := time.Now().Add(lockSpan); ; time.Sleep(idleCheck) {
+		loop, err := state.NewLoop(s)
+		if !over || !errors.Is(err, store.ErrLocked) || time.Now().After(until) {
+			return loop, err
+		}
+	}
 }
 
 // openPeers opens the way to the other senders where there is one. Without it the sender serves all the same.
@@ -193,7 +286,7 @@
 func renew(old Config, load Source, to changes, log *slog.Logger) Config {
 	c, err := load()
 	if err == nil {
-		err = lacks(gjson.Parse(old.text), gjson.Parse(c.text), "")
+		err = readAgain(old, c)
 	}
 	now := old
 	if err == nil {
@@ -309,27 +402,16 @@
 	})
 }
 
-// openPlane opens the fronts of the admin plane that are asked for: the Unix socket by the settings,
-// the second address by the configuration.
-func openPlane(c Config, keeper *held.Keeper, post *station, log *slog.Logger) (*admin.Server, *admin.Front, error) {
-	var plane *admin.Server
-	var front *admin.Front
-	var err error
-	if c.Ours != nil && c.Ours.Admin != nil {
-		var k admin.Keeper // an interface that holds a nil keeper is not nil
-		if keeper != nil {
-			k = keeper
-		}
-		if plane, err = admin.Listen(c.Ours.Admin.Socket, k, post, log); err != nil {
-			return nil, nil, err
-		}
+// openPlane opens the front of the admin plane on a Unix socket, if the settings ask for it.
+func openPlane(c Config, keeper *held.Keeper, post *station, log *slog.Logger) (*admin.Server, error) {
+	if c.Ours == nil || c.Ours.Admin == nil {
+		return nil, nil
 	}
-	if c.Admin != "" {
-		if front, err = admin.ListenTCP(c.Admin, post, log); err != nil && plane != nil {
-			plane.Close()
-		}
+	var k admin.Keeper // an interface that holds a nil keeper is not nil
+	if keeper != nil {
+		k = keeper
 	}
-	return plane, front, err
+	return admin.Listen(c.Ours.Admin.Socket, k, post, log)
 }
 
 // wind brings a sender to its end, counted from the signal.
--- /dev/null
+++ b/internal/lifecycle/succession.go
@@ -0,0 +1,126 @@
+package lifecycle
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"net"
+	"os"
+	"time"
+
+	"cleathold/internal/handover"
+	"cleathold/internal/held"
+	"cleathold/internal/protocol"
+	"cleathold/internal/state"
+)
+
+// closeSpan is how long clients' connections may take to end with the answers under way before the journal passes on.
+const closeSpan = 350 * time.Millisecond
+
+// A predecessor is the process before this one, or this one's own last term, whose calls are still out.
+type predecessor struct {
+	estate state.Estate
+	sock   net.Listener
+	ready  func() error                           // tells it that this process serves
+	run    func(context.Context, handover.Poster) // posts what comes of its calls
+	over   <-chan struct{}                        // of an own last term: nothing is out any more
+}
+
+// predecessorOf asks the process that serves the same state folder to give way; nil where there is none.
+func predecessorOf(c Config) (*predecessor, error) {
+	if c.Admin == "" {
+		return nil, nil
+	}
+	i, err := handover.Take(handover.Path(c.State))
+	if i == nil || err != nil {
+		return nil, err
+	}
+	return &predecessor{estate: i.Estate, sock: i.Sock, ready: i.Ready, run: i.Run}, nil
+}
+
+// openDesk opens the desk where the next process asks. Without one the sender serves, but has to be stopped for
+// another version. Nil works as a desk at which nobody asks.
+func openDesk(c Config, keeper *held.Keeper, log *slog.Logger) *handover.Desk {
+	switch {
+	case c.Admin == "":
+		return nil
+	case keeper != nil:
+		log.Warn("no hand-over to another process while messages are held: stop this one for a new version")
+		return nil
+	}
+	desk, err := handover.Open(handover.Path(c.State), log)
+	if err != nil {
+		log.Error("no hand-over to another process: stop this one for a new version", "err", err)
+		return nil
+	}
+	return desk
+}
+
+// giveWay lets another process take over, and returns once nothing of this one's is out any more. Where that one does
+// not come to serve, what it was given is returned.
+func (p *process) giveWay(ask *handover.Ask, sock *os.File, listener *protocol.Listener, loop *state.Loop, leave func(), desk *handover.Desk) *predecessor {
+	began := time.Now()
+	p.post.enter(leaving)
+	listener.Close(began.Add(closeSpan))
+	leave()
+	legacy := handover.NewLegacy()
+	done := make(chan state.Given, 1)
+	loop.Post(state.GiveWay{Heir: legacy, Done: done})
+	given := <-done
+	given.Estate.Drained = p.post.ordered()
+	gave := make(chan error, 1)
+	err := given.Err
+	if err != nil {
+		ask.Refuse(err.Error())
+		gave <- err
+	} else {
+		go func() { gave <- ask.Give(sock, given.Estate) }()
+	}
+	var told time.Time
+	select {
+	case err = <-gave:
+	case <-p.stop:
+		told = time.Now()
+		p.post.enter(stopping)
+		select {
+		case err = <-gave:
+		case <-time.After(time.Until(told.Add(finishSpan))):
+			err = errors.New("stopped")
+		}
+	}
+	if err != nil && told.IsZero() {
+		p.log.Error("another process did not take over, this one serves on", "err", err)
+		back, err := net.FileListener(sock)
+		if err != nil {
+			p.log.Error("the listening socket is lost", "err", err)
+			return nil
+		}
+		return &predecessor{
+			estate: given.Estate, sock: back, ready: func() error { return nil }, run: legacy.Feed, over: legacy.Over(p.ctx),
+		}
+	}
+	if err != nil {
+		p.log.Error("stopped before another process had taken over; the journal has everything", "err", err)
+		return nil
+	}
+	p.log.Info("another process has taken over", "after", time.Since(began).Round(time.Millisecond), "out", len(given.Estate.Out))
+	desk.Close(true)
+	passing, end := context.WithCancel(p.ctx)
+	defer end()
+	passed := make(chan error, 1)
+	go func() { passed <- ask.Pass(passing, legacy) }()
+	if told.IsZero() {
+		select {
+		case <-passed:
+			return nil
+		case <-p.stop:
+			told = time.Now()
+			p.post.enter(stopping)
+		}
+	}
+	select {
+	case <-passed:
+	case <-time.After(time.Until(told.Add(finishSpan))):
+	}
+	return nil
+}
--- a/internal/protocol/listener.go
+++ b/internal/protocol/listener.go
@@ -8,6 +8,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -90,13 +91,27 @@
 	if err != nil {
 		return nil, err
 	}
+	return ListenOn(sock, to, n, classes, most, keep, log), nil
+}
+
+// ListenOn is Listen on a socket that another process has opened.
+func ListenOn(sock net.Listener, to Intake, n Names, classes []control.Class, most, keep int, log *slog.Logger) *Listener {
 	l := &Listener{
 		to: to, log: log, sock: sock,
 		places: make(chan struct{}, most), keep: keep, open: map[*client]struct{}{},
 	}
 	l.Rename(n, classes)
 	l.wg.Add(1) // for Serve
-	return l, nil
+	return l
+}
+
+// File is the listening socket for another process: connections that wait in its queue outlast Close.
+func (l *Listener) File() (*os.File, error) {
+	sock, ok := l.sock.(*net.TCPListener)
+	if !ok {
+		return nil, errors.New("not a TCP socket")
+	}
+	return sock.File()
 }
 
 // Addr is the address that it listens on.
--- a/internal/state/handover.go
+++ b/internal/state/handover.go
@@ -1,6 +1,7 @@
 package state
 
 import (
+	"errors"
 	"time"
 
 	"cleathold/control"
@@ -57,6 +58,18 @@
 	Done chan<- Given // takes one without blocking
 }
 
+// Sound tells whether the journal holds all that the loop knows; only then may it give way.
+func (l *Loop) Sound() bool {
+	answer := make(chan bool, 1)
+	l.Post(inspect(func() { answer <- l.heir == nil && !l.journal.dirty }))
+	select {
+	case sound := <-answer:
+		return sound
+	case <-l.finished:
+		return false
+	}
+}
+
 // Given answers GiveWay.
 type Given struct {
 	Estate Estate
@@ -80,11 +93,6 @@
 	}
 	g := l.leaving
 	l.leaving = nil
-	if l.journal.dirty { // the next process would not know all
-		l.stopped, l.halted = false, false
-		g.Done <- Given{Err: errDirty}
-		return
-	}
 	e := Estate{At: l.now, Version: l.group.version, Known: map[string]control.Recollection{}}
 	for _, r := range l.ctl.Recall(l.since()) {
 		if t := l.group.byNum[r.Endpoint]; t != nil {
@@ -110,6 +118,9 @@
 		e.Out = append(e.Out, Abroad{a.num, a.attempt, n})
 	}
 	err := l.journal.close()
+	if l.journal.dirty {
+		err = errors.Join(errDirty, err)
+	}
 	l.heir = g.Heir
 	g.Done <- Given{e, err}
 	if len(l.out)+len(l.abroad) == 0 {
