--- a/control/control_test.go
+++ b/control/control_test.go
@@ -1097,3 +1097,60 @@
 		}
 	}
 }
+
+// What one controller knows of an endpoint holds in the one that comes after it: a told wait is kept to its end, an
+// outage is tested before it is believed over, a slow start goes on, and calls out at the other process take slots.
+func TestRememberedByTheNext(t *testing.T) {
+	old := newRecorder(t, settings())
+	old.ready(0, 1)
+	old.ready(1, 1)
+	old.ready(2, 1)
+	old.arrive(1, 0, 0)
+	old.answer(1, Full, 900*ms) // told to wait
+	for id := MessageID(10); id < 10+streak; id++ {
+		old.arrive(id, 2, 1)
+		old.answer(id, Errored, 0) // an outage
+	}
+	back := old.c.endpoints[200].route
+	old.c.back(back) // a slow start
+	old.pass(200 * ms)
+	known := old.c.Recall(old.now)
+	next := newRecorder(t, settings())
+	next.ready(0, 1)
+	next.ready(1, 1)
+	next.ready(2, 1)
+	next.c.Remember(next.now, append(known, Recollection{Endpoint: 999, Wait: time.Hour}))
+	next.list[0].wait = next.now + 700*ms // the recorder fails on a send before
+	waits := next.arrive(1, 0, 0)
+	next.pass(690 * ms)
+	if waits.sends > 0 {
+		t.Error("sent within the wait")
+	}
+	next.pass(200 * ms)
+	if waits.sends != 1 {
+		t.Errorf("sent %d times after the wait", waits.sends)
+	}
+	if rt := next.c.endpoints[100].route; !rt.open {
+		t.Error("an outage is forgotten")
+	}
+	if rt := next.c.endpoints[200].route; !rt.warming || next.now-rt.backAt < 200*ms {
+		t.Errorf("the slow start: %v, since %v", rt.warming, next.now-rt.backAt)
+	}
+	next.c.Abroad(next.now, next.set.Slots-1)
+	next.ready(3, 1)
+	if a, b := next.arrive(20, 0, 3), next.arrive(21, 0, 3); a.out || b.out { // one is out, the others are abroad
+		t.Error("more out than slots")
+	}
+	next.c.Abroad(next.now, 0)
+	next.pass(100 * ms)
+	if !next.msgs[20].out || !next.msgs[21].out {
+		t.Error("nothing sent though slots are free")
+	}
+	// A call that is told of later binds, too.
+	next.c.Saw(next.now, Outcome{Endpoint: 300, Result: Full, Wait: 400 * ms}, 50*ms)
+	next.answer(20, Served, 0)
+	next.answer(21, Served, 0)
+	if m := next.arrive(22, 0, 3); m.sends > 0 {
+		t.Error("sent within a wait that another process was told")
+	}
+}
--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -438,3 +438,6 @@
 		}
 	}
 }
+
+// Drop gives up what was taken before this process served: the other one goes on.
+func (i *Inheritance) Drop() { i.conn.Close() }
