Use the cheaper of two routes first, and tell few notes while nobody is heard

Change: better() puts the lower fee first among routes apart; a sender that hears of nobody tells its 1st, 2nd, 4th, 8th refusal and so on until one is heard. Both tests fail without their part.

--- a/control/control.go
+++ b/control/control.go
@@ -651,8 +651,10 @@
 	case r == Full && !rt.warming && c.even():
 		if a.sent >= rt.cutAt {
 			c.cut(rt)
-			c.act.Tell(Note{a.endpoint.ID, SawRefusal, c.now - a.sent})
 			c.unheard++
+			if c.unheard&(c.unheard-1) == 0 { // nobody is heard: ever fewer, as nobody may hear
+				c.act.Tell(Note{a.endpoint.ID, SawRefusal, c.now - a.sent})
+			}
 		}
 	case r == Full && !rt.warming:
 		if a.sent >= rt.cutAt {
@@ -961,6 +963,9 @@
 	if x, y := c.doubt(m, e), c.doubt(m, o); x != y {
 		return x < y
 	}
+	if x, y := c.toll(e), c.toll(o); x != y {
+		return x < y
+	}
 	if e.out != o.out {
 		return e.out < o.out
 	}
@@ -970,6 +975,14 @@
 	return e.used > o.used
 }
 
+// toll is the price of a message that an endpoint takes on, where its route stands by itself.
+func (c *Controller) toll(e *endpoint) float64 {
+	if !c.kind(e.Kind).Apart || e.Zone < 0 || e.Zone >= len(c.set.Tolls) {
+		return 0
+	}
+	return c.set.Tolls[e.Zone]
+}
+
 // doubt is the number of failures in a row that speak against an endpoint. A
 // failed one is tried again, when the others are busy, by a message that may be
 // repeated, or it would stay idle for good while another one serves.
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -1154,3 +1154,63 @@
 		t.Error("sent within a wait that another process was told")
 	}
 }
+
+// Of two routes apart the one with the lower fee takes what it can, and the other the rest; where endpoints share a
+// limit the fee is not asked.
+func TestLowerFeeFirst(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		apart bool
+		tolls []float64
+		zone  int // of the endpoint that all calls go to
+	}{
+		{"dear first", true, []float64{0.04, 0.01}, 1},
+		{"cheap first", true, []float64{0.01, 0.04}, 0},
+		{"none told", true, nil, 0},
+		{"shared", false, []float64{0.04, 0.01}, 0},
+	} {
+		set := settings()
+		set.Kinds, set.Tolls = []Kind{{Batch: 1, Apart: c.apart}}, c.tolls
+		r := newRecorder(t, set)
+		r.ready(0, 2) // zones 0 and 1
+		for id := MessageID(1); id <= 5; id++ {
+			m := r.arrive(id, 0, 0)
+			if !m.out || r.list[m.to].Zone != c.zone {
+				t.Errorf("%s: message %d went to zone %d", c.name, id, r.list[m.to].Zone)
+			}
+			r.answer(id, Served, 0)
+			r.pass(50 * ms)
+		}
+		full := r.arrive(6, 0, 0)
+		r.answer(6, Full, 500*ms) // its route is told to wait
+		r.pass(50 * ms)
+		if c.apart && (!full.out || r.list[full.to].Zone == c.zone) {
+			t.Errorf("%s: the other route is not used", c.name)
+		}
+	}
+}
+
+// One who hears of nobody tells ever less, as nobody may hear; one note from a sibling, and each refusal is told again.
+func TestFewNotesWhileNobodyIsHeard(t *testing.T) {
+	set := settings()
+	set.Siblings, set.CanTell, set.Weights, set.ReportShare, set.ReportLimit = 80, true, RoughWeights, -1, -1
+	r := newRecorder(t, set)
+	r.lists(ListFull, Endpoint{ID: 1, State: Ready, Weight: 4000})
+	e := r.c.endpoints[1]
+	refuse := func(n int) int {
+		before := len(r.told)
+		for range n {
+			r.now += 50 * ms
+			r.c.clock(r.now)
+			r.c.share(&attempt{endpoint: e, sent: r.now}, Full, nil)
+		}
+		return len(r.told) - before
+	}
+	if n := refuse(32); n < 3 || n > 8 {
+		t.Errorf("%d of 32 refusals told", n)
+	}
+	r.c.Heard(r.now, Note{Endpoint: 1, What: SawRefusal})
+	if n := refuse(2); n != 2 {
+		t.Errorf("%d of 2 refusals told after a sibling was heard", n)
+	}
+}
