Have the admin plane and the hand-over bind their Unix sockets by one package

Need: reading the change again; binding a socket for its owner alone, and asking who is at the other end, stood in internal/admin and again in internal/handover. Change: internal/ownsock has both. Behaviour and assertions unchanged. Measured: tests of admin and lifecycle, and the upgrade and held-command tests of cmd/cleathold, pass.

--- a/internal/admin/server.go
+++ b/internal/admin/server.go
@@ -16,9 +16,8 @@
 	"strconv"
 	"time"
 
-	"golang.org/x/sys/unix"
-
 	"cleathold/internal/held"
+	"cleathold/internal/ownsock"
 )
 
 const (
@@ -72,20 +71,8 @@
 		c.Close()
 		return nil, fmt.Errorf("admin: %s is in use by another process", path)
 	}
-	// Under another name until its mode is set.
-	fresh := path + ".new"
-	os.Remove(fresh)
-	sock, err := net.ListenUnix("unix", &net.UnixAddr{Name: fresh, Net: "unix"})
-	if err != nil {
-		return nil, fmt.Errorf("admin: %w", err)
-	}
-	sock.SetUnlinkOnClose(false)
-	if err = os.Chmod(fresh, 0o600); err == nil {
-		err = os.Rename(fresh, path)
-	}
+	sock, err := ownsock.Listen(path)
 	if err != nil {
-		sock.Close()
-		os.Remove(fresh)
 		return nil, fmt.Errorf("admin: %w", err)
 	}
 	s := &Server{path: path, keeper: k, log: log, sock: sock, places: make(chan struct{}, callsMost)}
@@ -105,31 +92,12 @@
 		Handler: mux, ReadHeaderTimeout: headSpan, ReadTimeout: actSpan, WriteTimeout: 2 * actSpan, IdleTimeout: idleSpan,
 		MaxHeaderBytes: 16 << 10, ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelWarn),
 		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
-			return context.WithValue(ctx, peerKey{}, peer(c))
+			return context.WithValue(ctx, peerKey{}, ownsock.Peer(c))
 		},
 	}
 	return s, nil
 }
 
-// peer is the user at the other end of the socket; -1 if the kernel won't tell.
-func peer(c net.Conn) int {
-	u, ok := c.(*net.UnixConn)
-	if !ok {
-		return -1
-	}
-	raw, err := u.SyscallConn()
-	if err != nil {
-		return -1
-	}
-	uid := -1
-	raw.Control(func(fd uintptr) {
-		if cred, err := unix.GetsockoptUcred(int(fd), unix.SOL_SOCKET, unix.SO_PEERCRED); err == nil {
-			uid = int(cred.Uid)
-		}
-	})
-	return uid
-}
-
 // Serve serves until Close.
 func (s *Server) Serve() {
 	if err := s.http.Serve(s.sock); !errors.Is(err, http.ErrServerClosed) {
--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -27,6 +27,7 @@
 
 	"golang.org/x/sys/unix"
 
+	"cleathold/internal/ownsock"
 	"cleathold/internal/state"
 )
 
@@ -111,21 +112,10 @@
 	if len(path) > pathMost {
 		return nil, fmt.Errorf("handover: %s: too long for a socket; set TMPDIR to a shorter one", path)
 	}
-	fresh := path + ".new"
-	os.Remove(fresh)
-	sock, err := net.ListenUnix("unix", &net.UnixAddr{Name: fresh, Net: "unix"})
+	sock, err := ownsock.Listen(path)
 	if err != nil {
 		return nil, fmt.Errorf("handover: %w", err)
 	}
-	sock.SetUnlinkOnClose(false)
-	if err = os.Chmod(fresh, 0o600); err == nil {
-		err = os.Rename(fresh, path)
-	}
-	if err != nil {
-		sock.Close()
-		os.Remove(fresh)
-		return nil, fmt.Errorf("handover: %w", err)
-	}
 	d := &Desk{path: path, sock: sock, log: log, asks: make(chan *Ask), quit: make(chan struct{})}
 	go d.run()
 	return d, nil
@@ -159,7 +149,7 @@
 		if err != nil {
 			return
 		}
-		if !own(c) {
+		if ownsock.Peer(c) != os.Geteuid() {
 			d.log.Warn("handover: asked by another user, refused")
 			c.Close()
 			continue
@@ -188,20 +178,6 @@
 	}
 }
 
-// own tells whether the other end is of this process's user.
-func own(c *net.UnixConn) bool {
-	raw, err := c.SyscallConn()
-	if err != nil {
-		return false
-	}
-	ok := false
-	raw.Control(func(fd uintptr) {
-		cred, err := unix.GetsockoptUcred(int(fd), unix.SOL_SOCKET, unix.SO_PEERCRED)
-		ok = err == nil && int(cred.Uid) == os.Geteuid()
-	})
-	return ok
-}
-
 // An Ask is a process that wants to take over.
 type Ask struct{ conn *net.UnixConn }
 
