Count the slots of calls abroad from what is abroad, not by a flag of the first forward

Seen on reading again: a call of several messages whose forwards end at different deadlines posts several Ended events; each marked its first forward, so returned() gave the call's slot back more than once, and the new process could have had a call more out than slots. Change: abroad keeps the call of each forward; Returned.First and the counter beside it are gone. No test causes the two deadlines in one call. Measured: tests of internal/state and the upgrade tests of cmd/cleathold pass.

--- a/internal/state/handover.go
+++ b/internal/state/handover.go
@@ -39,7 +39,6 @@
 	Took     time.Duration
 	Wait     time.Duration
 	Finished bool
-	First    bool // the first one told of its call, which may have had several
 }
 
 // Lost tells that the other process has ended: what it had out may have run.
@@ -113,9 +112,8 @@
 			}
 		}
 	}
-	for a := range l.abroad { // of a process before this one: passed on when it is told
-		n++
-		e.Out = append(e.Out, Abroad{a.num, a.attempt, n})
+	for a, call := range l.abroad { // of a process before this one: passed on when it is told
+		e.Out = append(e.Out, Abroad{a.num, a.attempt, n + 1 + call})
 	}
 	err := l.journal.close()
 	if l.journal.dirty {
@@ -132,7 +130,6 @@
 func (l *Loop) pass(event any) {
 	switch e := event.(type) {
 	case Ended:
-		first := true
 		for _, end := range e.Ends {
 			f := end.Forward
 			if f.ended {
@@ -144,12 +141,11 @@
 			}
 			l.heir.Returned(Returned{
 				Num: f.num, Attempt: f.attempt, Target: e.Call.Target.ID, Result: end.Result, Took: end.Took, Wait: end.Wait,
-				Finished: end.Finished, First: first,
+				Finished: end.Finished,
 			}, len(l.out)+len(l.abroad) == 0)
-			first = false
 		}
 	case Returned:
-		if a := (abroad{e.Num, e.Attempt}); l.abroad[a] {
+		if a := (abroad{e.Num, e.Attempt}); l.isAbroad(a) {
 			delete(l.abroad, a)
 			l.heir.Returned(e, len(l.out)+len(l.abroad) == 0)
 		}
@@ -177,16 +173,13 @@
 
 // inherit takes up what the process before this one has told, before the loop's first round.
 func (l *Loop) inherit(e *Estate) {
-	l.abroad = map[abroad]bool{}
-	calls := map[int]int{}
+	l.abroad = map[abroad]int{}
 	for _, a := range e.Out {
 		if x := l.table.entries[a.Num]; x != nil && x.notice == nil {
-			l.abroad[abroad{a.Num, a.Attempt}] = true
+			l.abroad[abroad{a.Num, a.Attempt}] = a.Call
 			x.abroad++
-			calls[a.Call]++
 		}
 	}
-	l.abroadCalls = len(calls)
 	l.backlog = append(l.backlog, News{Form: control.ListCached, Version: e.Version, Targets: e.Targets}, inspect(func() {
 		since := max(0, l.now.Sub(e.At))
 		var list []control.Recollection
@@ -201,24 +194,32 @@
 			list = append(list, r)
 		}
 		l.ctl.Remember(l.since(), list)
-		l.ctl.Abroad(l.since(), l.abroadCalls)
+		l.ctl.Abroad(l.since(), l.abroadCalls())
 	}))
 }
 
+func (l *Loop) isAbroad(a abroad) bool {
+	_, is := l.abroad[a]
+	return is
+}
+
+// abroadCalls is how many slots the calls of another process still take.
+func (l *Loop) abroadCalls() int {
+	calls := map[int]bool{}
+	for _, call := range l.abroad {
+		calls[call] = true
+	}
+	return len(calls)
+}
+
 // returned enters what came of a forward abroad, as book does for those of its own.
 func (l *Loop) returned(r Returned) {
 	a := abroad{r.Num, r.Attempt}
-	if !l.abroad[a] {
+	if !l.isAbroad(a) {
 		return
 	}
 	delete(l.abroad, a)
-	if r.First {
-		l.abroadCalls = max(0, l.abroadCalls-1)
-	}
-	if len(l.abroad) == 0 {
-		l.abroadCalls = 0
-	}
-	l.ctl.Abroad(l.since(), l.abroadCalls)
+	l.ctl.Abroad(l.since(), l.abroadCalls())
 	if t := l.group.byID[r.Target]; t != nil {
 		l.ctl.Saw(l.since(), control.Outcome{Endpoint: t.Endpoint.ID, Result: r.Result, Wait: r.Wait}, r.Took)
 		if r.Wait > 0 {
@@ -245,7 +246,6 @@
 // lost takes what is still abroad for what may have run.
 func (l *Loop) lost() {
 	clear(l.abroad)
-	l.abroadCalls = 0
 	l.ctl.Abroad(l.since(), 0)
 	for _, e := range l.table.ordered() {
 		if e.abroad > 0 {
--- a/internal/state/loop.go
+++ b/internal/state/loop.go
@@ -69,10 +69,9 @@
 	out      map[*Call]int // forwards without an end
 	flying   int           // calls with the carrier
 
-	leaving     *GiveWay // asked for in this round
-	heir        Heir     // to whom everything was given
-	abroad      map[abroad]bool
-	abroadCalls int // slots that they take
+	leaving *GiveWay       // asked for in this round
+	heir    Heir           // to whom everything was given
+	abroad  map[abroad]int // forwards out at another process, and in which of its calls
 
 	begun    bool
 	stopped  bool // no new messages
@@ -341,7 +340,7 @@
 	clear(l.round)
 	// A call that was parted by its size takes a slot more than the controller
 	// knows of: it waits for one.
-	wait := l.ready[min(len(l.ready), max(0, l.set.Slots-l.flying-l.abroadCalls)):]
+	wait := l.ready[min(len(l.ready), max(0, l.set.Slots-l.flying-l.abroadCalls())):]
 	l.ready = l.ready[:len(l.ready)-len(wait)]
 	for _, c := range l.ready {
 		l.recordCall(c)
