Compare new settings with those of the file in force, classes by name and figures at once

Need: reading again; after a first change the numbers of the classes differed from their places in the file, so that each later SIGHUP had the loop take the same settings once more. Change: Config.given holds the classes with their names. What is in force after a SIGHUP is unchanged. Measured: lifecycle's tests and the reload and upgrade tests pass.

--- a/internal/lifecycle/config.go
+++ b/internal/lifecycle/config.go
@@ -32,7 +32,7 @@
 	Known                          state.News
 	Ours                           *settings.Settings // nil: no script was named
 	text                           string             // as it was read
-	given                          []control.Class    // the classes of the settings in force, as they stood there
+	given                          []state.NamedClass // the classes of the settings in force, as they stood there
 }
 
 // Limits are what the machine gives.
@@ -66,6 +66,16 @@
 	return c, err
 }
 
+// named lists the classes of settings that have just been read.
+func (c Config) named() []state.NamedClass {
+	words := wordsOf(c.Names.Classes)
+	list := make([]state.NamedClass, len(c.Settings.Classes))
+	for i, k := range c.Settings.Classes {
+		list[i] = state.NamedClass{Name: words[i], Class: k}
+	}
+	return list
+}
+
 // wordsOf lists the names that were numbered.
 func wordsOf(numbers map[string]int) []string {
 	list := make([]string, len(numbers))
--- a/internal/lifecycle/serve.go
+++ b/internal/lifecycle/serve.go
@@ -5,7 +5,6 @@
 	"errors"
 	"fmt"
 	"log/slog"
-	"maps"
 	"math"
 	"os"
 	"os/signal"
@@ -64,7 +63,7 @@
 		return err
 	}
 	bound(c.Limits)
-	c.given = c.Settings.Classes
+	c.given = c.named()
 	p := &process{load: load, log: log, stop: stop, reload: reload, post: &station{log: log}}
 	var end context.CancelFunc
 	p.ctx, end = context.WithCancel(context.Background())
@@ -334,18 +333,14 @@
 func retune(old, c Config, to changes, log *slog.Logger) (Config, error) {
 	same := c.Settings
 	same.Seed, same.Classes, same.CanTell = old.Settings.Seed, old.Settings.Classes, old.Settings.CanTell
-	if reflect.DeepEqual(same, old.Settings) && maps.Equal(c.Names.Classes, old.Names.Classes) && slices.Equal(c.Settings.Classes, old.given) {
+	classes := c.named()
+	if reflect.DeepEqual(same, old.Settings) && slices.Equal(classes, old.given) {
 		return old, nil
 	}
 	if to.keeps {
 		log.Warn("settings read again: while messages are held, other settings of the platform wait for the next start")
 		return old, nil
 	}
-	words := wordsOf(c.Names.Classes)
-	classes := make([]state.NamedClass, len(c.Settings.Classes))
-	for i, k := range c.Settings.Classes {
-		classes[i] = state.NamedClass{Name: words[i], Class: k}
-	}
 	done := make(chan state.Retuned, 1)
 	if !to.loop.PostBefore(state.Retune{Settings: c.Settings, Classes: classes, Done: done}, time.Now().Add(tuneSpan)) {
 		return old, errors.New("settings: the loop does not take them")
@@ -355,7 +350,7 @@
 		return old, fmt.Errorf("settings: %w", r.Err)
 	}
 	now := old
-	now.given = c.Settings.Classes
+	now.given = classes
 	now.Names, now.Settings = c.Names, c.Settings
 	now.Names.Classes, now.Names.Kinds = r.Numbers, old.Names.Kinds
 	now.Settings.Classes, now.Settings.Seed, now.Settings.CanTell = r.Classes, old.Settings.Seed, old.Settings.CanTell
