Go through what comes of calls that are out by one function

Need: reading again; Pass, Feed and Over of the hand-over each had the same loop. Change: Legacy.each. Behaviour and assertions unchanged.

--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -219,19 +219,9 @@
 // Pass tells it what comes of the forwards that are out, until the last one or until it is gone.
 func (a *Ask) Pass(ctx context.Context, l *Legacy) error {
 	defer a.conn.Close()
-	for i := 0; ; i++ {
-		r, last, ok := l.next(ctx, i)
-		if !ok {
-			return ctx.Err()
-		}
-		m := message{Last: last}
-		if r != nil {
-			m.Returned = r
-		}
-		if err := send(a.conn, m, nil, time.Now().Add(passSpan)); err != nil || last {
-			return err
-		}
-	}
+	return l.each(ctx, func(r *state.Returned, last bool) error {
+		return send(a.conn, message{Returned: r, Last: last}, nil, time.Now().Add(passSpan))
+	})
 }
 
 // A Legacy collects what comes of forwards that are out when a loop gives way. As many as the slots at most.
@@ -264,15 +254,24 @@
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		for i := 0; ; i++ {
-			if _, last, ok := l.next(ctx, i); last || !ok {
-				return
-			}
-		}
+		l.each(ctx, func(*state.Returned, bool) error { return nil })
 	}()
 	return done
 }
 
+// each goes through all of it as it comes, until the last, the end of the context or an error.
+func (l *Legacy) each(ctx context.Context, do func(r *state.Returned, last bool) error) error {
+	for i := 0; ; i++ {
+		r, last, ok := l.next(ctx, i)
+		if !ok {
+			return ctx.Err()
+		}
+		if err := do(r, last); err != nil || last {
+			return err
+		}
+	}
+}
+
 // next returns the one with that number, waiting for it, and whether it is the last. Nil: there is none, nor will be.
 func (l *Legacy) next(ctx context.Context, i int) (r *state.Returned, last, ok bool) {
 	for {
@@ -301,19 +300,15 @@
 
 // Feed posts all of it to the loop of a process that took back what it gave.
 func (l *Legacy) Feed(ctx context.Context, to Poster) {
-	for i := 0; ; i++ {
-		r, last, ok := l.next(ctx, i)
-		if !ok {
-			return
-		}
+	l.each(ctx, func(r *state.Returned, last bool) error {
 		if r != nil {
 			to.Post(*r)
 		}
 		if last {
 			to.Post(state.Lost{})
-			return
 		}
-	}
+		return nil
+	})
 }
 
 // An Inheritance is what an heir got.
