--- a/cmd/cleathold/lab.go
+++ b/cmd/cleathold/lab.go
@@ -40,6 +40,7 @@
 	Fleet   labFleetCmd   `cmd:"" help:"Play drains and releases of a fleet of processes under drawn faults, or measure a release."`
 	Report  labReportCmd  `cmd:"" help:"Make a page of a run, or of several."`
 	Limits  labLimitsCmd  `cmd:"" help:"Set what all senders of a run did together against the limits of destinations, by second."`
+	Outages labOutagesCmd `cmd:"" help:"Follow a run's outages of endpoints: what was served meanwhile, and how often senders ran into them."`
 	Compare labCompareCmd `cmd:"" help:"Play paired seeds with two builds or two scenarios, and tell whether they differ."`
 }
 
@@ -400,16 +401,45 @@
 	JSON        bool   `help:"JSON instead of text." name:"json"`
 }
 
-func (c *labLimitsCmd) Run(out io.Writer) error {
-	run, err := ledger.Open(c.Run_)
+// openRun opens a run folder, and draws its plan again.
+func openRun(folder string) (*ledger.Run, *scenario.Plan, error) {
+	run, err := ledger.Open(folder)
 	if err != nil {
-		return err
+		return nil, nil, err
 	}
 	s, err := scenario.Parse(run.ScriptPath(), run.Script, run.Head.Figures)
+	if err != nil {
+		return nil, nil, err
+	}
+	return run, s.Plan(run.Head.Seed), nil
+}
+
+type labOutagesCmd struct {
+	Run_ string `arg:"" name:"run" help:"Run folder." type:"existingdir"`
+	JSON bool   `help:"JSON instead of text." name:"json"`
+}
+
+func (c *labOutagesCmd) Run(out io.Writer) error {
+	run, plan, err := openRun(c.Run_)
+	if err != nil {
+		return err
+	}
+	outages := report.NewOutages(plan)
+	if _, err := run.Events(outages.Read); err != nil {
+		return err
+	}
+	if c.JSON {
+		return writeJSON(out, outages.List())
+	}
+	return report.WriteOutages(out, outages.List())
+}
+
+func (c *labLimitsCmd) Run(out io.Writer) error {
+	run, plan, err := openRun(c.Run_)
 	if err != nil {
 		return err
 	}
-	sums := report.NewSums(s.Plan(run.Head.Seed))
+	sums := report.NewSums(plan)
 	if _, err := run.Events(sums.Read); err != nil {
 		return err
 	}
@@ -438,15 +468,11 @@
 
 // pageOf reads a run folder.
 func pageOf(folder string) (*report.Page, error) {
-	run, err := ledger.Open(folder)
-	if err != nil {
-		return nil, err
-	}
-	s, err := scenario.Parse(run.ScriptPath(), run.Script, run.Head.Figures)
+	run, plan, err := openRun(folder)
 	if err != nil {
 		return nil, err
 	}
-	c := report.NewCollector(s.Plan(run.Head.Seed))
+	c := report.NewCollector(plan)
 	whole, err := run.Events(c.Read)
 	if err != nil {
 		return nil, err
--- /dev/null
+++ b/internal/report/outages_test.go
@@ -0,0 +1,69 @@
+package report
+
+import (
+	"bytes"
+	"log/slog"
+	"strings"
+	"testing"
+	"time"
+
+	"cleathold/internal/audit"
+	"cleathold/internal/lab"
+	"cleathold/internal/scenario"
+)
+
+// dead plays fleet-dead.star, and tells what its senders ran into.
+func dead(t *testing.T, set map[string]float64, seed uint64, see func(audit.Event)) ([]Outage, lab.Result) {
+	t.Helper()
+	s, err := scenario.Load("../../examples/scenarios/fleet-dead.star", set)
+	if err != nil {
+		t.Fatal(err)
+	}
+	p := s.Plan(seed)
+	o := NewOutages(p)
+	sim, err := lab.NewSim(p, slog.New(slog.DiscardHandler), func(e audit.Event) error { see(e); return o.Read(e) })
+	if err != nil {
+		t.Fatal(err)
+	}
+	r, err := sim.Run()
+	if err != nil || len(r.Breaks) > 0 {
+		t.Fatalf("%v: %v %+v", set, err, r.Breaks)
+	}
+	return o.List(), r
+}
+
+// Half of the endpoints of two destinations die: what is told of it is what the ledger holds, counted another way.
+func TestOutages(t *testing.T) {
+	finds, wanted, senders := 0, 0, map[int]bool{}
+	list, _ := dead(t, nil, 1, func(e audit.Event) {
+		if e.At < 14*time.Second || e.At >= 20*time.Second {
+			return
+		}
+		switch e.What {
+		case audit.Saw: // no limits, and room for all: nothing else fails
+			finds++
+			senders[e.Sender] = true
+		case audit.Asked:
+			wanted++
+		}
+	})
+	if len(list) != 2 {
+		t.Fatalf("%+v", list)
+	}
+	a, b := list[0], list[1]
+	if a.Finds+b.Finds != finds || a.Wanted+b.Wanted != wanted || finds == 0 || max(a.Finders, b.Finders) > len(senders) || a.Finders+b.Finders < len(senders) {
+		t.Errorf("%d finds by %d senders, %d messages wanted: %+v", finds, len(senders), wanted, list)
+	}
+	for _, x := range list {
+		if x.Struck != 3 || x.Of != 6 || x.From != 14 || x.To != 20 || x.First > x.Finds || x.Most > x.Finds || x.Served <= 0.5 || x.Served > 1 || x.Even < 1 || x.Even > 10 {
+			t.Errorf("%+v", x)
+		}
+	}
+	var out bytes.Buffer
+	if err := WriteOutages(&out, list); err != nil || strings.Count(out.String(), "\n") != 3 || !strings.Contains(out.String(), "3/6") {
+		t.Errorf("%v\n%s", err, out.String())
+	}
+	if list, _ := dead(t, map[string]float64{"dead": 0}, 1, func(audit.Event) {}); len(list) != 0 {
+		t.Errorf("nothing was struck: %+v", list)
+	}
+}
--- a/internal/scenario/load.go
+++ b/internal/scenario/load.go
@@ -269,8 +269,9 @@
 	a.text("kind", &f.Kind)
 	a.between("destinations", &f.Destinations)
 	a.number("weight", &f.Weight)
-	if f.Destinations.From < 1 || f.Destinations.To > 100_000 || !(f.Weight > 0) {
-		return errors.Join(a.err, errors.New("destinations: 1 to 100,000; weight: above 0"))
+	a.count("endpoints", &f.Endpoints)
+	if f.Destinations.From < 1 || f.Destinations.To > 100_000 || !(f.Weight > 0) || f.Endpoints < 0 || f.Endpoints > 1000 {
+		return errors.Join(a.err, errors.New("destinations: 1 to 100,000; weight: above 0; endpoints of each: 1,000 at most"))
 	}
 	s.Fleets = append(s.Fleets, f)
 	return a.err
@@ -348,6 +349,7 @@
 	a.between("factor", &t.Factor)
 	a.between("part", &t.Part)
 	a.text("zone", &t.Zone)
+	a.number("endpoints", &t.Endpoints)
 	a.text("kind", &t.Kind)
 	a.count("destination", &t.Dest)
 	a.yes("knows_end", &t.Knows)
@@ -355,8 +357,8 @@
 	switch {
 	case !known:
 		return fmt.Errorf("what: %q is no trouble", what)
-	case t.Share.To > 1 || t.Part.To > 1 || t.Length.From <= 0 || t.Factor.From <= 0:
-		return errors.Join(a.err, errors.New("share and part: 0 to 1; seconds and factor: above 0"))
+	case t.Share.To > 1 || t.Part.To > 1 || t.Endpoints < 0 || t.Endpoints > 1 || t.Length.From <= 0 || t.Factor.From <= 0:
+		return errors.Join(a.err, errors.New("share, part and endpoints: 0 to 1; seconds and factor: above 0"))
 	case mode == partner.Cut && t.Factor.To >= 1:
 		return errors.Join(a.err, errors.New("factor: a cut limit is less than 1 times the usual"))
 	}
--- a/internal/scenario/plan.go
+++ b/internal/scenario/plan.go
@@ -122,8 +122,9 @@
 	p.Rate = s.Traffic.Rate.draw(rng)
 	p.clumps, p.clump = s.Traffic.Clumps.draw(rng), s.Traffic.Clump
 	type slot struct {
-		kind   *Kind
-		weight float64
+		kind      *Kind
+		weight    float64
+		endpoints int
 	}
 	var slots []slot
 	zipf := s.Traffic.Zipf.draw(rng)
@@ -133,7 +134,7 @@
 		sum := 0.0
 		from := len(slots)
 		for i := range n {
-			slots = append(slots, slot{k, math.Pow(float64(i+1), -zipf)})
+			slots = append(slots, slot{k, math.Pow(float64(i+1), -zipf), f.Endpoints})
 			sum += slots[from+i].weight
 		}
 		for i := range n {
@@ -160,6 +161,9 @@
 		d.CV, d.ItemCost = k.CV.draw(rng), k.ItemCost.draw(rng)
 		n := int(math.Round(k.Endpoints.draw(rng) * (0.8 + 0.8*x.weight/largest)))
 		n = min(max(1, n), 4)
+		if x.endpoints > 0 {
+			n = x.endpoints
+		}
 		limit := max(k.Headroom.draw(rng)*load, k.Least.draw(rng))
 		if k.Apart {
 			limit /= float64(n)
@@ -236,6 +240,10 @@
 					hit = append(hit, e.ID)
 				}
 			}
+			if t.Endpoints > 0 && len(hit) > 0 {
+				rng.Shuffle(len(hit), func(i, j int) { hit[i], hit[j] = hit[j], hit[i] })
+				hit = hit[:min(len(hit), max(1, int(math.Round(t.Endpoints*float64(len(d.Endpoints))))))]
+			}
 			share := d.Share * float64(len(hit)) / float64(len(d.Endpoints))
 			wrong := t.Kind != "" && d.Kind != t.Kind || t.Dest >= 0 && d.Dest != t.Dest
 			if len(hit) == 0 || wrong || struck > 0 && struck+share > part {
--- a/internal/scenario/scenario.go
+++ b/internal/scenario/scenario.go
@@ -68,6 +68,7 @@
 	Kind         string
 	Destinations Range
 	Weight       float64 // of its traffic among the fleets
+	Endpoints    int     // of each destination; 0 = drawn, as the kind has it
 }
 
 // Class describes a class of messages.
@@ -117,8 +118,9 @@
 	Mode       partner.Mode
 	Share      Range // of the calls, where the mode has one
 	Factor     Range
-	Part       Range  // of the traffic that is struck, at most
-	Zone       string // only endpoints there; empty = any
+	Part       Range   // of the traffic that is struck, at most
+	Zone       string  // only endpoints there; empty = any
+	Endpoints  float64 // so much of each destination's endpoints, drawn; 0 = all of them
 	Kind       string
 	Dest       int  // only this destination; below 0 = any
 	Knows      bool // a told wait tells its end
--- a/internal/scenario/scenario_test.go
+++ b/internal/scenario/scenario_test.go
@@ -61,6 +61,8 @@
 		{"keyed without memory", `message_class(name = "x", share = 1, service = 1, aim = 1, deadline = 2, effect = "keyed")`, ":1:14: message_class: a keyed class"},
 		{"no kind", `fleet(kind = "x", destinations = 1)`, `: fleet: no kind "x"`},
 		{"no zone", `trouble(what = "DOWN", at = 1, seconds = 1, zone = "x")`, `: trouble: no zone "x"`},
+		{"more endpoints than there are", `trouble(what = "DOWN", at = 1, seconds = 1, endpoints = 1.5)`, ":1:8: trouble: share, part and endpoints: 0 to 1"},
+		{"too many endpoints", `fleet(kind = "x", endpoints = 5000)`, ":1:6: fleet: destinations: 1 to 100,000"},
 		{"no sender", `sender(number = 3, at = 1, what = "kill")`, ": sender: no number 3"},
 		{"syntax", `trouble(`, ":2:1: got end of file"},
 	} {
