Take a destination for out of order only once each of its endpoints has failed

Endpoints that failed count as sound again after the fall window (doubt) and, used longest ago, go first among many (better), so a sender that calls now and then meets the dead ones in a row, takes the third for an outage of the destination (health, rt.bad >= streak), sends lone calls, and starts slowly on 'return'. Ruled out: no room (600 connections), limits (none), slots.

Change: among eight siblings and more, three failures in a row open a route only if each endpoint that may be called has failed when last called.

The test fails without the change.

--- a/control/control.go
+++ b/control/control.go
@@ -477,7 +477,8 @@
 		rt.retryAt = rt.wait + time.Duration(c.rng.Float64()*float64(c.rare(e)))
 	}
 	rt.risky = r.MayHaveRun()
-	if !rt.open && rt.bad >= streak {
+	// One of many sees a few calls: it may meet the same dead endpoints again and again while others serve.
+	if !rt.open && rt.bad >= streak && (r == Full || !c.even() || e.dest.spoilt()) {
 		c.open(e)
 	}
 }
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -1288,3 +1288,34 @@
 		t.Errorf("%d of 400 questions answered", n)
 	}
 }
+
+// Where some endpoints of a destination are dead and others serve, one of many that meets the dead ones in a row goes on with the
+// others at once. Where all have failed it is an outage. A few siblings see enough to take three failures for one.
+func TestDeadEndpointsAreNoOutage(t *testing.T) {
+	for _, c := range []struct {
+		siblings, dead int
+		result         Result
+		open           bool
+	}{
+		{80, 3, NoConnection, false}, {80, 3, TimedOut, false}, {80, 6, NoConnection, true}, {80, 3, Full, true}, {4, 3, NoConnection, true},
+	} {
+		set := settings()
+		set.Siblings, set.CanTell, set.SendCap = c.siblings, true, 99
+		r := newRecorder(t, set)
+		r.ready(0, 6)
+		r.arrive(1, 0, 0)
+		for n := 0; n < c.dead; n++ { // one endpoint after the other, as each that has failed comes last
+			if !r.msgs[1].out {
+				break
+			}
+			r.pass(10 * ms)
+			r.answer(1, c.result, 0)
+		}
+		if open := r.c.dest(0).shared.open; open != c.open {
+			t.Errorf("%d siblings, %d of 6 dead, result %d: open %v", c.siblings, c.dead, c.result, open)
+		}
+		if m := r.msgs[1]; !c.open && !m.out {
+			t.Errorf("%d siblings, %d of 6 dead, result %d: the message does not go on", c.siblings, c.dead, c.result)
+		}
+	}
+}
--- a/control/state.go
+++ b/control/state.go
@@ -141,6 +141,11 @@
 	return d
 }
 
+// spoilt tells that each endpoint which may be called has failed when last called.
+func (d *dest) spoilt() bool {
+	return !slices.ContainsFunc(d.endpoints, func(e *endpoint) bool { return e.State == Ready && e.bad == 0 })
+}
+
 // wake puts a destination that has work among the busy ones.
 func (c *Controller) wake(d *dest) {
 	if d.awake {
