Give measured orders to the next agent where one was killed or none leads

Staff's tool asks the next agent; the measure asked agent 0 alone. Change: Yard.OrderAny asks in turn where surely nothing was changed, for 20 s. Lines at fault: y.Order(0, ...) in Measure and halted.

--- a/internal/rig/fleet/release.go
+++ b/internal/rig/fleet/release.go
@@ -166,7 +166,7 @@
 	}
 	d0, n0 := door()
 	gate := rollout.Gate{Least: 30, Soak: time.Second, Wait: time.Minute}
-	id, err := y.Order(0, rollout.Command{Verb: rollout.Start, New: &rollout.Plan{Kind: rollout.Release, To: rollout.Version{Name: "v2", Program: good}, Gate: gate}})
+	id, err := y.OrderAny(rollout.Command{Verb: rollout.Start, New: &rollout.Plan{Kind: rollout.Release, To: rollout.Version{Name: "v2", Program: good}, Gate: gate}})
 	if err != nil {
 		return m, err
 	}
@@ -218,7 +218,7 @@
 		return m, err
 	}
 	// Back: a release of the old program, turned round once its first stages are through.
-	id, err = y.Order(0, rollout.Command{Verb: rollout.Start, New: &rollout.Plan{Kind: rollout.Release, To: rollout.Version{Name: "v3", Program: s.Program}, Gate: gate}})
+	id, err = y.OrderAny(rollout.Command{Verb: rollout.Start, New: &rollout.Plan{Kind: rollout.Release, To: rollout.Version{Name: "v3", Program: s.Program}, Gate: gate}})
 	if err != nil {
 		return m, err
 	}
@@ -229,7 +229,7 @@
 		return m, err
 	}
 	began = time.Now()
-	if _, err := y.Order(0, rollout.Command{Verb: rollout.GoBack, Plan: id}); err != nil {
+	if _, err := y.OrderAny(rollout.Command{Verb: rollout.GoBack, Plan: id}); err != nil {
 		return m, err
 	}
 	if _, err := y.AwaitPlan(5*time.Minute, id, rollout.Ended); err != nil {
@@ -274,7 +274,7 @@
 // halted drains the whole fleet, a few at a time, and halts it in the middle: how long after the halt was ordered the last
 // sender went out. With the leader cut off the halt goes to another agent, as soon as one leads.
 func (y *Yard) halted(cut bool) (time.Duration, error) {
-	id, err := y.Order(0, rollout.Command{Verb: rollout.Start, New: &rollout.Plan{Kind: rollout.Drain, Stages: [][]string{y.Names}, Hold: 300 * time.Millisecond}})
+	id, err := y.OrderAny(rollout.Command{Verb: rollout.Start, New: &rollout.Plan{Kind: rollout.Drain, Stages: [][]string{y.Names}, Hold: 300 * time.Millisecond}})
 	if err != nil {
 		return 0, err
 	}
@@ -320,7 +320,7 @@
 	_, last := y.Poll.Since(ordered)
 	y.Net.Heal()
 	for until := time.Now().Add(30 * time.Second); time.Now().Before(until); time.Sleep(100 * time.Millisecond) {
-		if _, err = y.Order(0, rollout.Command{Verb: rollout.Activate, Plan: id}); err == nil {
+		if _, err = y.OrderAny(rollout.Command{Verb: rollout.Activate, Plan: id}); err == nil {
 			break
 		}
 	}
--- a/internal/rig/fleet/yard.go
+++ b/internal/rig/fleet/yard.go
@@ -10,6 +10,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -462,6 +463,14 @@
 
 // Order has something done by way of an agent; a refusal is an error.
 func (y *Yard) Order(i int, c rollout.Command) (uint64, error) {
+	r, err := y.order(i, c)
+	if err == nil && r.Text != "" {
+		err = fmt.Errorf("%s: %s", r.Kind, r.Text)
+	}
+	return r.Index, err
+}
+
+func (y *Yard) order(i int, c rollout.Command) (agent.Result, error) {
 	ctx, cancel := context.WithDeadline(y.ctx, time.Now().Add(20*time.Second))
 	defer cancel()
 	if c.By == "" {
@@ -470,11 +479,28 @@
 	if c.Reason == "" {
 		c.Reason = "a test"
 	}
-	r, err := agent.Order(ctx, y.agents[i].addr, agent.Call{Command: c})
-	if err == nil && r.Text != "" {
-		err = fmt.Errorf("%s: %s", r.Kind, r.Text)
+	return agent.Order(ctx, y.agents[i].addr, agent.Call{Command: c})
+}
+
+// OrderAny asks one agent after the other, as staff's tool does, for as long as nobody takes the order: one that was killed may not
+// listen again yet, and no agent may lead. An order that may have been taken is not given twice.
+func (y *Yard) OrderAny(c rollout.Command) (uint64, error) {
+	var r agent.Result
+	var err error
+	for until := time.Now().Add(20 * time.Second); time.Now().Before(until); time.Sleep(50 * time.Millisecond) {
+		for i := range y.agents {
+			r, err = y.order(i, c)
+			var dial *net.OpError
+			switch {
+			case errors.As(err, &dial) && dial.Op == "dial", err == nil && r.Kind == agent.KindNoMajority:
+				continue
+			case err == nil && r.Text != "":
+				err = fmt.Errorf("%s: %s", r.Kind, r.Text)
+			}
+			return r.Index, err
+		}
 	}
-	return r.Index, err
+	return 0, fmt.Errorf("nobody takes an order: %s %w", r.Text, err)
 }
 
 // Pid is that of the process which serves for a sender; 0: nobody answers.
