Have a large fleet know its dead endpoints together: verdicts by two words, tests in turn

Change: internal/verdict (merge, two words, life, tests spread over the fleet, doubt of those contradicted, a rate); notes SawDown and SawUp; doubt puts what siblings found dead last, and first when it is this sender's turn to test it; one overdue call speaks for its endpoint. Fleets under eight as before.

--- a/control/control.go
+++ b/control/control.go
@@ -8,8 +8,9 @@
 
 import (
 	"math"
-	"slices"
 	"time"
+
+	"cleathold/internal/verdict"
 )
 
 const (
@@ -36,6 +37,7 @@
 	aloneCut     = 0.35                   // one that hears nobody: to this part, of one even part...
 	aloneRise    = 0.03                   // ...and each served call adds this part of it
 	evenCold     = 1.3                    // times its sure part on a cold return: the sum of all is known
+	deadMost     = 2.0 / 3                // part of a destination that siblings' word may take from one
 	evenDepth    = 6.0                    // calls that may come together after a pause
 	leastShare   = 0.01                   // with reports the share grows from here
 	roomLeft     = 0.5                    // a refusal with less of a limit left is no outage
@@ -204,25 +206,6 @@
 	}
 }
 
-// Retune takes other settings while messages are held and out. Each keeps the class that it came with. What
-// this instance is among its siblings, and how destinations are built, no settings can change under way.
-func (c *Controller) Retune(now time.Duration, set Settings) error {
-	c.clock(now)
-	old := &c.set
-	set.Seed, set.Index, set.Siblings, set.Zone = old.Seed, old.Index, old.Siblings, old.Zone
-	set.Kinds, set.CanTell, set.Ask = old.Kinds, old.CanTell, old.Ask
-	if err := validate(&set); err != nil {
-		return err
-	}
-	c.set = set
-	for _, m := range slices.Clone(c.held) { // fewer attempts may be allowed than some had
-		if m.out == nil && !m.live && !c.mayRetry(m) {
-			c.giveUp(m)
-		}
-	}
-	return nil
-}
-
 // judge learns from an outcome: T_m, the stall, the report and the health.
 func (c *Controller) judge(a *attempt, o Outcome) {
 	if o.Result == Cancelled {
@@ -364,15 +347,22 @@
 
 // silence finds destinations that have answered nothing since their oldest call out was overdue. Slow and
 // hung ones look the same: until they answer they get lone calls, so that they don't fill the slots.
+// One of many sees a few calls: one overdue says that of its endpoint alone.
 func (c *Controller) silence() {
 	for _, d := range c.busy {
-		if len(d.outs) == 0 {
-			continue
-		}
-		a := d.outs[0]
-		if rt := a.endpoint.route; !rt.open && d.answered <= a.sent && c.now >= a.sent+a.usual {
-			rt.risky = true
-			c.open(a.endpoint)
+		for i, a := range d.outs {
+			e, rt := a.endpoint, a.endpoint.route
+			if c.now < a.sent+a.usual || rt.open ||
+				!c.even() && (i > 0 || d.answered > a.sent) || c.even() && e.served > a.sent {
+				continue
+			}
+			if c.even() {
+				e.bad = max(1, e.bad)
+			}
+			if !c.even() || c.spoilt(d) {
+				rt.risky = true
+				c.open(e)
+			}
 		}
 	}
 }
@@ -435,8 +425,11 @@
 		return
 	}
 	if r == Served {
+		if c.even() && e.verdict.Served(c.now, c.terms()) {
+			c.speak(e, SawUp)
+		}
 		e.dest.shy = false
-		rt.goodAt = c.now
+		rt.goodAt, e.served = c.now, c.now
 		// Mere silence that ends in an answer was slowness, and a short streak bad luck or a limit met.
 		// Failures over a while mean an outage, and a cold return; one met on the way back goes on.
 		if rt.bad > 0 && c.now-rt.since >= c.set.FallWindow {
@@ -455,6 +448,9 @@
 		rt.wait = max(rt.wait, c.now+wait)
 		return
 	}
+	if r != Full && c.even() && e.verdict.Failed(c.now, c.terms(), c.rng.Float64()) {
+		c.speak(e, SawDown)
+	}
 	if r == TimedOut && sent >= rt.badAt {
 		e.dest.late++
 	}
@@ -478,7 +474,7 @@
 	}
 	rt.risky = r.MayHaveRun()
 	// One of many sees a few calls: it may meet the same dead endpoints again and again while others serve.
-	if !rt.open && rt.bad >= streak && (r == Full || !c.even() || e.dest.spoilt()) {
+	if !rt.open && rt.bad >= streak && (r == Full || !c.even() || c.spoilt(e.dest)) {
 		c.open(e)
 	}
 }
@@ -563,6 +559,8 @@
 	switch {
 	case n.What == SawRefusal && !rt.warming && sent >= rt.cutAt:
 		c.cut(rt)
+	case n.What == SawDown || n.What == SawUp:
+		c.word(e, verdict.Word{By: n.From, At: sent, Up: n.What == SawUp})
 	case n.What == SawReturn && rt.bad > 0 && sent > rt.badAt && now >= max(rt.wait, rt.since+c.set.FallWindow):
 		c.back(rt) // spared its own test, it starts as slowly as after one
 		rt.open, e.bad, rt.bad = false, 0, 0
@@ -600,15 +598,6 @@
 	}
 }
 
-// reuse learns how calls fare on connections by the time these lay idle.
-func (c *Controller) reuse(a *attempt, r Result) {
-	if r == TimedOut || r == Broken {
-		c.lost[a.idle] += lossWeight * (1 - c.lost[a.idle])
-	} else if r == Served {
-		c.lost[a.idle] -= lossWeight * c.lost[a.idle]
-	}
-}
-
 // freshen closes the idle connections of an endpoint if calls on those idle for so long are lost and on busy
 // ones are not: something on the way forgets connections, which looks like a hung partner but is not. Each
 // use lets the memory fade, so that a healed way is found again.
@@ -992,8 +981,16 @@
 
 // doubt is the number of failures in a row that speak against an endpoint. A failed one is tried again, when
 // the others are busy, by a message that may be repeated, or it would stay idle while another one serves.
+// Where siblings found it dead one of them tests it for all: this one in its turn, by its next message.
 func (c *Controller) doubt(m *message, e *endpoint) int {
-	if m.class.Effect != Unsafe && e.out == 0 && c.now-e.used >= c.set.FallWindow<<min(max(e.bad-1, 0), 3) {
+	repeats := m.class.Effect != Unsafe
+	switch {
+	case c.dead(e) && repeats && e.out == 0 && c.now >= e.verdict.TestAt():
+		return -1
+	case c.dead(e), !repeats && c.even() && e.verdict.Careful(c.now, c.terms()):
+		return max(1, e.bad)
+	}
+	if repeats && e.out == 0 && c.now-e.used >= c.set.FallWindow<<min(max(e.bad-1, 0), 3) {
 		return 0
 	}
 	return e.bad
--- a/control/state.go
+++ b/control/state.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"cleathold/internal/hearing"
+	"cleathold/internal/verdict"
 )
 
 // A route is what waits, limits and outages hold for: a destination, or one
@@ -45,11 +46,14 @@
 	out    int // calls out
 	bad    int // answers in a row that served nothing
 	used   time.Duration
+	served time.Duration // the latest answer that served
 	linked bool          // a connection is thought open
 	roomAt time.Duration // it may have room for a connection again
 	turned int           // answers in a row that it has none
 	left   time.Duration // when it was last seen to be listed
 	last   *call         // the latest call, which sends of one instant may share
+
+	verdict verdict.Verdict // what siblings and this sender found of it, in a large fleet
 }
 
 // A call is one connection's worth of messages: one slot, one fate.
@@ -141,9 +145,49 @@
 	return d
 }
 
-// spoilt tells that each endpoint which may be called has failed when last called.
-func (d *dest) spoilt() bool {
-	return !slices.ContainsFunc(d.endpoints, func(e *endpoint) bool { return e.State == Ready && e.bad == 0 })
+// spoilt tells that each endpoint which may be called has failed when last called, by this sender or its siblings.
+func (c *Controller) spoilt(d *dest) bool {
+	return !slices.ContainsFunc(d.endpoints, func(e *endpoint) bool { return e.State == Ready && e.bad == 0 && !c.dead(e) })
+}
+
+// dead tells that siblings found an endpoint dead, and not too many others of its destination.
+func (c *Controller) dead(e *endpoint) bool {
+	if !c.even() || !e.verdict.Holds(c.now, c.terms()) {
+		return false
+	}
+	n, all := 0, 0
+	for _, o := range e.dest.endpoints {
+		if o.State == Ready {
+			if all++; o.verdict.Holds(c.now, c.terms()) {
+				n++
+			}
+		}
+	}
+	return float64(n) <= deadMost*float64(all)
+}
+
+// terms are those of verdicts: a dead endpoint is tested twice in the time in which a cold one falls.
+func (c *Controller) terms() verdict.Terms {
+	w := c.set.FallWindow
+	return verdict.Terms{Siblings: c.set.Siblings, Span: w / 2, Life: 3 * w, Return: w}
+}
+
+// word takes what a sibling found of an endpoint. One that is back has its even part of the senders look at it first.
+func (c *Controller) word(e *endpoint, w verdict.Word) {
+	over, back := e.verdict.Heard(c.now, w, c.terms(), c.rng.Float64())
+	if over {
+		e.bad = 0
+	}
+	if back && c.rng.Float64()*float64(len(e.dest.endpoints)) < 1 {
+		e.used = c.now
+	}
+}
+
+// speak tells siblings what a call to an endpoint has just shown, as often as a fleet may.
+func (c *Controller) speak(e *endpoint, what Seen) {
+	if c.voice.May(c.now, c.terms()) {
+		c.act.Tell(Note{Endpoint: e.ID, What: what})
+	}
 }
 
 // wake puts a destination that has work among the busy ones.
@@ -215,6 +259,7 @@
 	askAt     time.Duration
 	askFailed int // asks in a row
 	hear      hearing.Hearing
+	voice     verdict.Voice
 }
 
 // New returns a controller for one instance, or an error that names the
@@ -404,6 +449,34 @@
 	c.now = now
 }
 
+// Retune takes other settings while messages are held and out. Each keeps the class that it came with. What
+// this instance is among its siblings, and how destinations are built, no settings can change under way.
+func (c *Controller) Retune(now time.Duration, set Settings) error {
+	c.clock(now)
+	old := &c.set
+	set.Seed, set.Index, set.Siblings, set.Zone = old.Seed, old.Index, old.Siblings, old.Zone
+	set.Kinds, set.CanTell, set.Ask = old.Kinds, old.CanTell, old.Ask
+	if err := validate(&set); err != nil {
+		return err
+	}
+	c.set = set
+	for _, m := range slices.Clone(c.held) { // fewer attempts may be allowed than some had
+		if m.out == nil && !m.live && !c.mayRetry(m) {
+			c.giveUp(m)
+		}
+	}
+	return nil
+}
+
+// reuse learns how calls fare on connections by the time these lay idle.
+func (c *Controller) reuse(a *attempt, r Result) {
+	if r == TimedOut || r == Broken {
+		c.lost[a.idle] += lossWeight * (1 - c.lost[a.idle])
+	} else if r == Served {
+		c.lost[a.idle] -= lossWeight * c.lost[a.idle]
+	}
+}
+
 // Started tells that the streamed answer to an attempt has begun; from then on it belongs to the client.
 func (c *Controller) Started(now time.Duration, id MessageID) {
 	c.clock(now)
--- a/control/types.go
+++ b/control/types.go
@@ -195,6 +195,8 @@
 	SawReturn       // a call was served after an outage: it is back, and cold
 	SawAsk          // nothing: one that has heard nobody for a while asks whether anybody hears it
 	SawHere         // nothing: the answer to that, by a few
+	SawDown         // a call failed: it may be dead
+	SawUp           // a call was served where others' failed
 	seenMost
 )
 
--- a/internal/report/outages_test.go
+++ b/internal/report/outages_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"log/slog"
+	"math"
 	"strings"
 	"testing"
 	"time"
@@ -67,3 +68,27 @@
 		t.Errorf("nothing was struck: %+v", list)
 	}
 }
+
+// The promise of docs/design/fleet-limits.md: with half of the endpoints dead, or hanging, at least 0.97 is served at any size, and the calls
+// that run into a dead one grow no faster than the logarithm of the senders. The same holds of a fleet in five parts, for each part.
+func TestVerdictsOfFleet(t *testing.T) {
+	finds := func(senders, rate, mode, parts float64) int {
+		list, r := dead(t, map[string]float64{"senders": senders, "rate": rate, "mode": mode, "parts": parts}, 2, func(audit.Event) {})
+		n := 0
+		for _, x := range list {
+			if n += x.Finds; x.Served < 0.97 {
+				t.Errorf("%v senders, mode %v, %v parts: %+v", senders, mode, parts, x)
+			}
+		}
+		t.Logf("%v senders, mode %v, %v parts: %d finds, %d notes", senders, mode, parts, n, r.Notes)
+		return n
+	}
+	few, many := finds(20, 160, 0, 1), finds(250, 500, 0, 1)
+	if most := float64(few) * math.Log(250) / math.Log(20); float64(many) > most {
+		t.Errorf("20 senders find the dead endpoints %d times, 250 %d times, %.0f at most", few, many, most)
+	}
+	if parted := finds(250, 500, 0, 5); parted > 5*many {
+		t.Errorf("%d finds in five parts, %d in one", parted, many)
+	}
+	finds(250, 500, 1, 1)
+}
