Bound asks of discovery by the settings, and have one that is alone tell little and slow more

(1) Asks of discovery were spread over 50 ms a sibling, 15 s at 300, 50 s at 1,000 (AskSpread), above must-ask-in-ms. At 1,000 senders in the laboratory 57% of the messages found a sender without a list.

Change: the spread has a ceiling of 0.8 of must-ask-in-ms, the wait after failures twice must-ask-in-ms. One that is alone asks once a span and tells nothing else. A limit met within the cold time starts a cut from its last low part; a refusal alone leaves a quarter (0.35 before); the latest 16 notes show a part that has become small.

--- a/control/control.go
+++ b/control/control.go
@@ -34,7 +34,7 @@
 	evenCut      = 0.7                    // a refusal, its own or a sibling's, takes its share to this part...
 	evenOver     = 1.5                    // ...of so many even parts at most
 	evenLeast    = 0.02                   // but leaves so much of one
-	aloneCut     = 0.35                   // one that hears nobody: to this part, of one even part...
+	aloneCut     = 0.25                   // one that hears nobody: to this part, of one even part...
 	aloneRise    = 0.03                   // ...and each served call adds this part of it
 	evenCold     = 1.3                    // times its sure part on a cold return: the sum of all is known
 	deadMost     = 2.0 / 3                // part of a destination that siblings' word may take from one
@@ -63,6 +63,7 @@
 	pulse        = 100 * time.Millisecond // step at which the clock is watched while calls are out
 	askRetry     = 0.1                    // share of the ask period to wait after a failed call
 	askDoubled   = 4                      // times that a large fleet doubles what it waits instead
+	askMost      = 0.8                    // share of the ask period that a large fleet spreads asks over at most
 	askTurn      = 50 * time.Millisecond  // what a large fleet leaves discovery for each ask of one of them
 )
 
@@ -99,7 +100,8 @@
 		}
 		wait, spread := time.Duration(askRetry*float64(c.set.MustAsk)), c.set.AskSpread()
 		if spread > 0 {
-			wait = min(max(wait, spread)<<c.askFailed, max(c.set.MustAsk, spread))
+			most := max(c.set.MustAsk, min(2*c.set.MustAsk, time.Duration(c.set.Siblings)*askTurn))
+			wait = min(max(wait, spread)<<c.askFailed, max(most, spread))
 		}
 		c.askAt = c.now + time.Duration((0.5+c.rng.Float64())*float64(wait))
 		c.askFailed = min(c.askFailed+1, askDoubled)
@@ -111,12 +113,17 @@
 // many tells a large fleet.
 func (s *Settings) many() bool { return s.Siblings >= manySiblings }
 
-// AskSpread is the time over which a large fleet spreads asks that would come at one instant; else 0.
+// AskSpread is the time over which a large fleet spreads asks that would come at one instant; else 0. At any
+// size it leaves time to ask before the list counts as told.
 func (s *Settings) AskSpread() time.Duration {
+	spread := time.Duration(s.Siblings) * askTurn
 	if !s.many() {
 		return 0
 	}
-	return time.Duration(s.Siblings) * askTurn
+	if s.MustAsk > 0 {
+		spread = min(spread, time.Duration(askMost*float64(s.MustAsk)))
+	}
+	return spread
 }
 
 // ask subscribes to the list where it answers only when asked.
@@ -540,7 +547,7 @@
 		over, to = 1, aloneCut
 	}
 	rt.share = max(to*min(rt.share, over*part), evenLeast*part)
-	rt.cutAt = c.now
+	rt.cutAt, rt.low = c.now, rt.share
 	rt.tokens, rt.filled = c.rng.Float64(), max(c.now, rt.wait) // not all siblings at one instant
 }
 
@@ -574,6 +581,9 @@
 		rt.warming = false
 	}
 	if c.hear.Alone(c.now) {
+		if rt.grownAt < c.hear.Asked && c.now-rt.cutAt < c.set.Cold { // a limit that has just been met
+			rt.share = min(rt.share, rt.low)
+		}
 		if rt.grownAt = c.now; rt.cutAt == c.hear.Asked {
 			c.cut(rt)
 		}
@@ -616,18 +626,6 @@
 	return band
 }
 
-// crowding learns how often endpoints of a kind refuse connections though they seem well: some take few, and
-// idle ones of siblings count. In a large fleet they are scarce until calls show otherwise.
-func (c *Controller) crowding(e *endpoint, r Result) {
-	if _, known := c.crowd[e.Kind]; !known && c.set.many() {
-		c.crowd[e.Kind] = 1
-	}
-	if (r == NoConnection || r == Crowded && c.even()) && !e.route.open {
-		c.crowd[e.Kind] += crowdWeight
-	}
-	c.crowd[e.Kind] *= 1 - crowdWeight
-}
-
 // unlink: where connections are scarce, one that no message waits for would keep siblings out: it is closed.
 func (c *Controller) unlink() {
 	for _, e := range c.freed {
--- a/control/state.go
+++ b/control/state.go
@@ -33,6 +33,7 @@
 	filled  time.Duration
 	share   float64       // this instance's part of the limit
 	cutAt   time.Duration // when a refusal last lowered it
+	low     float64       // to this
 	grownAt time.Duration // when an answer last raised it
 	told    bool          // a report came, also one that tells of no limit
 	limit   float64       // reported limit in calls a second; 0 = none known
@@ -185,7 +186,7 @@
 
 // speak tells siblings what a call to an endpoint has just shown, as often as a fleet may.
 func (c *Controller) speak(e *endpoint, what Seen) {
-	if c.voice.May(c.now, c.terms()) {
+	if !c.hear.Alone(c.now) && c.voice.May(c.now, c.terms()) {
 		c.act.Tell(Note{Endpoint: e.ID, What: what})
 	}
 }
@@ -477,6 +478,18 @@
 	}
 }
 
+// crowding learns how often endpoints of a kind refuse connections though they seem well: some take few, and
+// idle ones of siblings count. In a large fleet they are scarce until calls show otherwise.
+func (c *Controller) crowding(e *endpoint, r Result) {
+	if _, known := c.crowd[e.Kind]; !known && c.set.many() {
+		c.crowd[e.Kind] = 1
+	}
+	if (r == NoConnection || r == Crowded && c.even()) && !e.route.open {
+		c.crowd[e.Kind] += crowdWeight
+	}
+	c.crowd[e.Kind] *= 1 - crowdWeight
+}
+
 // Started tells that the streamed answer to an attempt has begun; from then on it belongs to the client.
 func (c *Controller) Started(now time.Duration, id MessageID) {
 	c.clock(now)
--- a/internal/hearing/hearing.go
+++ b/internal/hearing/hearing.go
@@ -15,9 +15,11 @@
 	memory  = 20 * time.Second       // of who was heard
 	ring    = 64                     // notes that are remembered
 	fewest  = 8                      // with fewer nothing is known
+	latest  = 16                     // of so many latest notes...
+	plain   = 9                      // ...no more than so many tellers are a small part, whoever was heard before
 	again   = 50 * time.Millisecond  // one that is alone asks again, each in so much a sibling, so that all
 	// together ask as often at any size: the first that is heard once ways are healed ends it for all
-	spare = 2.0 // those with more traffic tell more: the others count, too
+	spare = 1.3 // those with more traffic tell more: the others count, too
 )
 
 // Hearing is what one sender knows. The zero value has heard nobody, and asked nobody; Siblings must be set.
@@ -40,18 +42,19 @@
 
 // Heard takes that a sibling was heard.
 func (h *Hearing) Heard(now time.Duration, from int) {
-	h.unheard, h.heardAt = 0, now
+	h.unheard, h.heardAt, h.next = 0, now, now
 	h.list[h.n%ring] = heard{from, now}
 	h.n++
 	h.part = h.estimate(now)
 }
 
-// Refused takes a refusal of its own: whether to tell of it (nobody is heard: ever fewer, as nobody may hear), and whether
-// to ask with it if anybody hears.
+// Refused takes a refusal of its own: whether to tell of it (nobody is heard: ever fewer, as nobody may hear, and none while it
+// is alone but with a question), and whether to ask with it if anybody hears.
 func (h *Hearing) Refused(now time.Duration) (tell, ask bool) {
 	h.unheard++
 	tell = h.unheard&(h.unheard-1) == 0
-	ask = tell && now-h.heardAt >= quiet
+	ask = tell && now-h.heardAt >= quiet && now >= h.next
+	tell = tell && (ask || !h.Alone(now))
 	if ask && h.heardAt >= h.Asked {
 		h.Asked = now
 	}
@@ -88,13 +91,26 @@
 	return h.part
 }
 
-// estimate is from how few have told how many notes: of m that tell alike, k notes come from m(1-exp(-k/m)) in the mean.
+// estimate is from how few have told how many notes: of m that tell alike, k notes come from m(1-exp(-k/m)) in the mean. The latest
+// few are enough to tell a part that has become small, and too few for all else.
 func (h *Hearing) estimate(now time.Duration) float64 {
+	if k, d := h.tellers(now, latest); k == latest && d <= plain {
+		return h.of(k, d)
+	}
+	k, d := h.tellers(now, ring)
+	if k < fewest {
+		return 1
+	}
+	return h.of(k, d)
+}
+
+// tellers counts the latest notes that are not too old, and who told them.
+func (h *Hearing) tellers(now time.Duration, most int) (k, d int) {
 	seen := [ring]int{}
-	k, d := 0, 0
-	for _, x := range h.list[:min(h.n, ring)] {
+	for i := h.n - 1; i >= 0 && i >= h.n-most; i-- {
+		x := h.list[i%ring]
 		if now-x.at > memory {
-			continue
+			break
 		}
 		k++
 		known := false
@@ -106,9 +122,11 @@
 			d++
 		}
 	}
-	if k < fewest {
-		return 1
-	}
+	return k, d
+}
+
+// of is the part of the siblings that k notes from d tellers speak for.
+func (h *Hearing) of(k, d int) float64 {
 	m := float64(d)
 	for all := float64(h.Siblings); m < all && m*(1-math.Exp(-float64(k)/m)) < float64(d)-0.5; m++ {
 	}
