--- a/control/control.go
+++ b/control/control.go
@@ -549,7 +549,7 @@
 		over, to = 1, aloneCut
 	}
 	rt.share = max(to*min(rt.share, over*part), evenLeast*part)
-	rt.cutAt, rt.low = c.now, rt.share
+	rt.cutAt = c.now
 	rt.tokens, rt.filled = c.rng.Float64(), max(c.now, rt.wait) // not all siblings at one instant
 }
 
@@ -585,9 +585,6 @@
 		rt.warming = false
 	}
 	if c.hear.Alone(c.now) {
-		if rt.grownAt < c.hear.Asked && c.now-rt.cutAt < c.set.Cold { // a limit that has just been met
-			rt.share = min(rt.share, rt.low)
-		}
 		if rt.grownAt = c.now; rt.cutAt == c.hear.Asked {
 			c.cut(rt)
 		}
--- a/control/state.go
+++ b/control/state.go
@@ -34,7 +34,6 @@
 	filled  time.Duration
 	share   float64       // this instance's part of the limit
 	cutAt   time.Duration // when a refusal last lowered it
-	low     float64       // to this
 	grownAt time.Duration // when an answer last raised it
 	told    bool          // a report came, also one that tells of no limit
 	limit   float64       // reported limit in calls a second; 0 = none known
