--- a/control/control_test.go
+++ b/control/control_test.go
@@ -1454,6 +1454,10 @@
 	if m.to != dead {
 		t.Fatalf("the test went to %d", m.to)
 	}
+	if o := r.arrive(9, 0, 0); !o.out || o.to == dead {
+		t.Errorf("a second test beside the first: out %v at %d", o.out, o.to)
+	}
+	r.answer(9, Served, 0)
 	r.pass(10 * ms)
 	r.answer(2, Served, 0)
 	if count(SawUp) != 1 || count(SawDown) != 1 {
@@ -1474,6 +1478,27 @@
 	if !r.c.dest(0).shared.open {
 		t.Error("both are silent: it should count as an outage")
 	}
+	q := oneOfMany(t, 1) // an endpoint that answers other calls is not silent
+	q.arrive(1, 0, 0)
+	q.pass(10 * ms)
+	q.answer(1, Served, 0)
+	q.pass(time.Second)
+	q.arrive(2, 0, 0)
+	q.pass(10 * ms)
+	q.c.endpoints[0].served = q.now
+	q.pass(60 * ms)
+	if bad := q.c.endpoints[0].bad; !q.msgs[2].out || bad != 0 {
+		t.Errorf("answered since: %d failures, the call out %v", bad, q.msgs[2].out)
+	}
+	a, e := amongMany(t) // nobody hears one that is alone
+	a.c.share(&attempt{endpoint: e, sent: a.now}, Full, nil)
+	a.pass(time.Second)
+	n := len(a.told)
+	a.c.clock(a.now)
+	a.c.health(e, a.now, NoConnection, 0)
+	if !a.c.hear.Alone(a.now) || len(a.told) != n {
+		t.Errorf("alone %v, told %+v", a.c.hear.Alone(a.now), a.told[n:])
+	}
 }
 
 // Where some endpoints of a destination are dead and others serve, one of many that meets the dead ones in a row goes on with the
@@ -1572,6 +1597,20 @@
 			t.Errorf("%s: %.2f of its even part", c.name, got)
 		}
 	}
+	again, far := oneOfMany(t, 1), 20*time.Second // in each return the word of each counts anew, and no more are kept than count
+	for n := range 2 {
+		rt := again.c.endpoints[0].route
+		rt.warming = false
+		again.pass(far)
+		again.c.back(rt)
+		again.pass(100 * ms)
+		for i := range 30 {
+			again.c.Heard(again.now, Note{Endpoint: 0, What: SawWarm, From: i})
+		}
+		if got := rt.backAt - rt.warmAt; got != again.set.Cold || len(rt.warmBy) > 10 {
+			t.Errorf("return %d: %v earlier by the word of %d", n, got, len(rt.warmBy))
+		}
+	}
 	r := oneOfMany(t, 1)
 	e := r.c.endpoints[0]
 	e.route.before = 100 * ms
--- a/internal/hearing/hearing_test.go
+++ b/internal/hearing/hearing_test.go
@@ -31,6 +31,8 @@
 		{at: 17 * s},
 		{at: 18 * s, refused: true, tell: true, ask: true},
 		{at: 18*s + 400*time.Millisecond, heard: true},
+		{at: 21 * s, refused: true, tell: true, ask: true}, // who was heard may be asked anew, though no span has passed
+		{at: 21*s + 400*time.Millisecond, heard: true},
 		{at: 30 * s},
 		{at: 31 * s, refused: true, tell: true, ask: true},
 		{at: 32 * s, alone: true},
--- a/internal/report/outages_test.go
+++ b/internal/report/outages_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"log/slog"
 	"math"
+	"os"
 	"strings"
 	"testing"
 	"time"
@@ -13,10 +14,14 @@
 	"cleathold/internal/scenario"
 )
 
-// dead plays fleet-dead.star, and tells what its senders ran into.
-func dead(t *testing.T, set map[string]float64, seed uint64, see func(audit.Event)) ([]Outage, lab.Result) {
+// dead plays fleet-dead.star and what is added to it, and tells what its senders ran into.
+func dead(t *testing.T, set map[string]float64, seed uint64, see func(audit.Event), more ...string) ([]Outage, lab.Result) {
 	t.Helper()
-	s, err := scenario.Load("../../examples/scenarios/fleet-dead.star", set)
+	text, err := os.ReadFile("../../examples/scenarios/fleet-dead.star")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s, err := scenario.Parse("fleet-dead.star", []byte(string(text)+strings.Join(more, "\n")), set)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -92,3 +97,40 @@
 	}
 	finds(250, 500, 1, 1)
 }
+
+// Ways that are broken between some senders and one endpoint of six take it from nobody else for long, and one that comes and goes is
+// found by few each time. So many calls a second go there of what an even part of those that reach it would be.
+func TestBrokenWaysOfFleet(t *testing.T) {
+	const one = `link(at = 10, seconds = 18, to = "endpoint/e00001", `
+	for _, c := range []struct {
+		name, more string
+		least      float64 // of the destination's calls that go there
+		finds      int     // at most
+	}{
+		{"one sender can't reach it", one + `of = "n0", what = "CUT")`, 0.14, 10},
+		{"five can't", one + `of = ["n0", "n1", "n2", "n3", "n4"], what = "CUT")`, 0.13, 40},
+		{"a building can't", one + `of = "bldg-a", what = "CUT")`, 0.03, 200},
+		{"a building hears nothing of it", one + `of = "bldg-a", what = "SILENT")`, 0.03, 200},
+		{"it comes and goes", `[trouble(what = "DOWN", at = 10 + 2 * i, seconds = 1, destination = 1, endpoints = 0.17) for i in range(9)]`, 0.12, 60},
+	} {
+		calls, there, finds := 0, 0, 0
+		_, r := dead(t, map[string]float64{"senders": 80, "rate": 320, "dead": 0}, 1, func(e audit.Event) {
+			if e.Dest != 1 || e.At < 10*time.Second || e.At >= 28*time.Second {
+				return
+			}
+			switch e.What {
+			case audit.Saw:
+				finds++
+			case audit.Sent:
+				if calls++; e.Endpoint == "e00001" {
+					there++
+				}
+			}
+		}, c.more)
+		part := float64(there) / float64(calls)
+		t.Logf("%s: %.3f of the calls go there, %d finds, %.3f served", c.name, part, finds, r.Whole)
+		if part < c.least || finds > c.finds || finds == 0 || r.Whole < 0.98 {
+			t.Errorf("%s: %.3f of the calls go there, %d finds, %.3f served", c.name, part, finds, r.Whole)
+		}
+	}
+}
--- a/internal/verdict/verdict_test.go
+++ b/internal/verdict/verdict_test.go
@@ -81,6 +81,8 @@
 		{"nobody asked whether it serves", []step{{at: s, by: Own, up: true}}, 2 * s, false},
 		{"a word alone is contradicted", []step{{at: s, by: 3}, {at: s + ms, by: Own, up: true, tell: true}, {at: s + 2*ms, by: Own, up: true}}, 2 * s, false},
 		{"one who was contradicted speaks for itself", []step{{at: s, by: 3}, {at: s + ms, by: 5, up: true}, {at: s + 2*ms, by: 3}, {at: 2 * s, by: 4}}, 3 * s, false},
+		{"while it goes on", []step{{at: s, by: 3}, {at: s + ms, by: 5, up: true}, {at: 6 * s, by: 3}, {at: 8 * s, by: 3}, {at: 8 * s, by: 4}}, 9 * s, false},
+		{"until its own call is served", []step{{at: s, by: Own, tell: true}, {at: s + ms, by: 5, up: true}, {at: 2 * s, by: Own, up: true}, {at: 3 * s, by: Own, tell: true}}, 4 * s, false},
 		{"but others count", []step{{at: s, by: 3}, {at: s + ms, by: 5, up: true}, {at: 2 * s, by: 6}, {at: 2 * s, by: 4, holds: true}}, 3 * s, true},
 	} {
 		var v Verdict
@@ -132,6 +134,9 @@
 		}
 		u.Heard(at, Word{100, at, true}, terms, 0)
 	}
+	if x := u; x.Failed(at+ms, terms, 0) {
+		t.Error("told in a dispute")
+	}
 	u.Heard(at+ms, Word{50, at + ms, false}, terms, 0)
 	u.Heard(at+ms, Word{51, at + ms, false}, terms, 0)
 	if !u.Disputed(at+ms) || u.Holds(at+ms, terms) || u.Careful(at+ms, terms) || u.Failed(at+2*ms, terms, 0) {
@@ -160,6 +165,9 @@
 		if over != c.over || !back || !v.Holds(now+999*ms, terms) || v.Holds(now+time.Second, terms) {
 			t.Errorf("%s: over %v, back %v, holds just before its turn %v, and after %v", c.name, over, back, v.Holds(now+999*ms, terms), v.Holds(now+time.Second, terms))
 		}
+		if v.Served(now+ms, terms); v.Holds(now+2*ms, terms) {
+			t.Errorf("%s: its own call was served, and it still waits for its turn", c.name)
+		}
 	}
 }
 
