Ask again at once after an answer of discovery that broke off, and hold sends back

Change: an answer is bounded from its first byte on (300 ms between pieces, half the grace in all), and asked for again without a wait. As no retry can be sure to succeed, the list is uncertain from that byte on: from the grace less 250 ms until an answer is whole nothing new is sent to any target, also no call that waits for its connection; a hand-over passes it on. Targets named whole in the part that came leave at once.

--- a/internal/lifecycle/serve.go
+++ b/internal/lifecycle/serve.go
@@ -140,7 +140,9 @@
 	}
 	clients, idle := shareSockets(*c)
 	sender := protocol.NewSender(loop, c.Settings.ConnIdle, idle, log)
-	discovery := protocol.NewDiscovery(loop, c.Discovery, c.Names, c.Settings.MustAsk, c.Settings.AskSpread(), log)
+	discovery := protocol.NewDiscovery(loop, protocol.DiscoverySetup{
+		Addr: c.Discovery, Names: c.Names, MustAsk: c.Settings.MustAsk, Rest: c.Settings.AskSpread(), DrainGrace: c.Settings.DrainGrace, Log: log,
+	})
 	notices := protocol.NewNotices(loop, c.Discovery, log)
 	loop.Connect(sender, discovery, notices)
 	if peers != nil {
--- a/internal/protocol/discovery.go
+++ b/internal/protocol/discovery.go
@@ -4,11 +4,13 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"log/slog"
 	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/tidwall/gjson"
@@ -27,18 +29,49 @@
 	// quickAnswer is too soon for an answer without news. Less than the time
 	// in which the next call still continues a watch.
 	quickAnswer = 100 * time.Millisecond
+	// answerGap is the longest pause within an answer. What discovery has begun to write counts as told, so that one
+	// which breaks off is asked for again long before the grace of drains is over.
+	answerGap = 300 * time.Millisecond
+	// retryFirst is waited before an answer that broke off is asked for again; doubled up to retryMost.
+	retryFirst = 20 * time.Millisecond
+	retryMost  = 640 * time.Millisecond
+	// spreadPart of the grace of drains is the most over which a large fleet spreads the first of these asks.
+	spreadPart = 0.3
 )
 
-// errSilent tells of a question whose answer did not come, or not whole, in its time.
+// errSilent tells of a question whose answer did not come in its time.
 var errSilent = errors.New("no whole answer in time")
 
+// An unreadError tells of an answer that began and can't be read, or not to its end. What it told is not known.
+type unreadError struct {
+	began time.Time // when its first byte was there
+	body  []byte    // as far as it came
+	cause error
+}
+
+func (e *unreadError) Error() string { return "the answer broke off: " + e.cause.Error() }
+
+func (e *unreadError) Unwrap() error { return e.cause }
+
+// DiscoverySetup is what a client of discovery is built from.
+type DiscoverySetup struct {
+	Addr  string
+	Names Names
+	// MustAsk bounds how long a watch waits; 0 = it does not.
+	MustAsk time.Duration
+	// Rest is left, on average, between news and the next question. A change is told to all senders at one instant, and
+	// where these are many, their next questions would come together and keep discovery from all else.
+	Rest time.Duration
+	// DrainGrace is the time within which a drain that was told must be heeded; 0 = not told by the settings.
+	DrainGrace time.Duration
+	Log        *slog.Logger
+}
+
 // Discovery asks for the target group, on one goroutine.
 type Discovery struct {
+	DiscoverySetup
 	post  Poster
-	names Names
-	wait  time.Duration
-	rest  time.Duration // left between news and the next question
-	log   *slog.Logger
+	wait  time.Duration // that a watch is asked to wait
 	wants chan want
 
 	mu      sync.Mutex
@@ -46,25 +79,35 @@
 	callOff context.CancelFunc // ends the question under way
 }
 
-// A want is what the controller asks for.
+// A want is what the controller asks for, and how asking for it went so far.
 type want struct {
 	watch, fetch bool
 	since        int64
-	missed       bool // the watch before fell silent: what it missed is asked for, without a wait
+	missed       bool      // the watch before fell silent or broke off: what it missed is asked for, without a wait
+	retries      int       // asks since an answer broke off; 0 = none did since the last that was whole
+	unread       time.Time // when the latest answer that broke off began
 }
 
 // whole tells that the whole list is asked for, not what has changed.
 func (w want) whole() bool { return w.fetch || w.since == state.NoVersion }
 
-// NewDiscovery returns a client of discovery whose watches wait so long. After news it rests for a time
-// around the one given: a change is told to all senders at one instant, and where these are many, their
-// next questions would come together and keep discovery from all else.
-func NewDiscovery(post Poster, addr string, n Names, mustAsk, rest time.Duration, log *slog.Logger) *Discovery {
+// failed ends the asking: when to ask again is the controller's to say.
+func (w *want) failed() {
+	*w = want{since: w.since}
+}
+
+// answered goes on from an answer that was whole.
+func (w *want) answered(version int64) {
+	*w = want{watch: w.watch, since: version}
+}
+
+// NewDiscovery returns a client of discovery.
+func NewDiscovery(post Poster, s DiscoverySetup) *Discovery {
 	wait := watchMost
-	if mustAsk > 0 {
-		wait = min(wait, mustAsk)
+	if s.MustAsk > 0 {
+		wait = min(wait, s.MustAsk)
 	}
-	return &Discovery{post: post, addr: addr, names: n, wait: wait, rest: rest, log: log, wants: make(chan want, 16)}
+	return &Discovery{DiscoverySetup: s, post: post, addr: s.Addr, wait: wait, wants: make(chan want, 16)}
 }
 
 // Watch begins or ends a watch on what is newer than a version.
@@ -77,7 +120,7 @@
 	select {
 	case d.wants <- w:
 	default:
-		d.log.Warn("discovery: too many asks at once, one left out")
+		d.Log.Warn("discovery: too many asks at once, one left out")
 	}
 }
 
@@ -105,7 +148,7 @@
 // call right after each answer, until one fails: when to ask then is the
 // controller's to say.
 func (d *Discovery) Run(ctx context.Context) {
-	link := &dialog{}
+	link := &dialog{steady: steadiness{gap: answerGap, most: d.answerMost()}}
 	defer link.hangUp()
 	var now want
 	for d.next(ctx, &now) {
@@ -113,46 +156,80 @@
 		link.turn(addr)
 		asked := time.Now()
 		news, err := d.get(asking, link, now)
-		moved := asking.Err() != nil
-		now.fetch = false
-		if moved { // also where an answer came in that instant
-			end()
-			now.watch = false // what to ask at the new address is among the wants
-			continue
-		}
-		if errors.Is(err, errSilent) && now.watch && !now.missed {
-			end()
-			d.log.Info("discovery: the watch fell silent and is opened anew", "err", err)
-			now.missed = true
-			continue
-		}
-		now.missed = false
-		if err == nil && !now.whole() && news.Version < now.since {
-			end()
-			d.log.Warn("discovery: an older list than the one known, asked for whole", "known", now.since, "told", news.Version)
-			now.since = state.NoVersion
-			pause(ctx, asked.Add(quickAnswer))
-			continue
-		}
-		if err != nil {
-			end()
-			d.log.Info("discovery failed", "err", err)
-			now.watch = false
-			d.post.Post(state.News{Form: control.ListFailed})
-			continue
-		}
-		now.since = news.Version
-		d.post.Post(news)
-		if d.rest > 0 && len(news.Targets) > 0 {
-			pause(asking, time.Now().Add(d.rest*9/10+rand.N(d.rest/5)))
-		} else if len(news.Targets) == 0 && time.Since(asked) < quickAnswer {
-			// A watch that does not wait must not become a storm of questions.
-			pause(asking, time.Now().Add(quickAnswer))
+		switch {
+		case asking.Err() != nil: // moved, also where an answer came in that instant
+			now.watch, now.fetch = false, false // what to ask at the new address is among the wants
+		case err != nil:
+			d.missed(asking, &now, err)
+		case !now.whole() && news.Version < now.since:
+			d.Log.Warn("discovery: an older list than the one known, asked for whole", "known", now.since, "told", news.Version)
+			now.answered(state.NoVersion)
+			pause(asking, asked.Add(quickAnswer))
+		default:
+			d.told(asking, &now, news, asked)
 		}
 		end()
 	}
 }
 
+// answerMost is how long an answer may take from its first byte on. Where that is longer than usual the list counts as
+// uncertain before the grace of drains is over.
+func (d *Discovery) answerMost() time.Duration {
+	if d.DrainGrace <= 0 {
+		return listSpan
+	}
+	return min(listSpan, d.DrainGrace/2)
+}
+
+// told passes an answer on, and rests before the next question where that is called for.
+func (d *Discovery) told(ctx context.Context, now *want, news state.News, asked time.Time) {
+	if now.retries > 0 {
+		d.Log.Info("discovery: the list is known again", "asks", now.retries, "version", news.Version)
+	}
+	now.answered(news.Version)
+	d.post.Post(news)
+	if d.Rest > 0 && len(news.Targets) > 0 {
+		pause(ctx, time.Now().Add(d.Rest*9/10+rand.N(d.Rest/5)))
+	} else if len(news.Targets) == 0 && time.Since(asked) < quickAnswer {
+		// A watch that does not wait must not become a storm of questions.
+		pause(ctx, time.Now().Add(quickAnswer))
+	}
+}
+
+// missed deals with a question that got no answer that can be used: it is asked again here, or is over.
+func (d *Discovery) missed(ctx context.Context, now *want, err error) {
+	var unread *unreadError
+	switch {
+	case errors.As(err, &unread):
+		d.Log.Warn("discovery: an answer broke off and is asked for again", "err", err, "bytes", len(unread.body), "asks", now.retries)
+		d.post.Post(state.Unread{At: unread.began, Leaving: leavingOf(unread.body, d.Names)})
+		now.unread = unread.began
+		d.retry(ctx, now)
+	case now.retries > 0 && time.Since(now.unread) < state.UncertainSpan(d.MustAsk):
+		d.Log.Info("discovery: no answer since one broke off, asked again", "err", err, "asks", now.retries)
+		d.retry(ctx, now)
+	case now.watch && !now.missed && (errors.Is(err, errSilent) || errors.Is(err, errEnded) && d.Rest == 0):
+		d.Log.Info("discovery: the watch fell silent or ended and is opened anew", "err", err)
+		now.missed = true
+	default:
+		d.Log.Info("discovery failed", "err", err, "since", now.since, "missed", now.missed)
+		now.failed()
+		d.post.Post(state.News{Form: control.ListFailed})
+	}
+}
+
+// retry has the next question be one without a wait, after a short pause. A large fleet spreads the first: what was told
+// to all of it at one instant may have broken off for all.
+func (d *Discovery) retry(ctx context.Context, now *want) {
+	wait := min(retryFirst<<min(now.retries, 10), retryMost)
+	if spread := min(d.Rest, time.Duration(spreadPart*float64(d.DrainGrace))); now.retries == 0 && spread > 0 {
+		wait = spread
+	}
+	now.missed = true
+	now.retries++
+	pause(ctx, time.Now().Add(wait/2+rand.N(wait/2)))
+}
+
 // next says what to ask now: what is wanted anew, else the watch goes on. It
 // waits while nothing is wanted, and tells false at the end.
 func (d *Discovery) next(ctx context.Context, now *want) bool {
@@ -191,7 +268,11 @@
 	<-ctx.Done()
 }
 
-// get asks once. A first watch without a version is the whole list.
+// errEnded tells of a watch whose connection ended before anything of an answer came.
+var errEnded = errors.New("the connection ended without an answer")
+
+// get asks once. A first watch without a version is the whole list. Its error is an unreadError where an answer began,
+// errSilent where none did in time, and errEnded where a connection that was up ended instead.
 func (d *Discovery) get(ctx context.Context, link *dialog, w want) (state.News, error) {
 	path, limit := listPath, time.Now().Add(listSpan)
 	if !w.whole() {
@@ -202,17 +283,24 @@
 		path += "?since=" + strconv.FormatInt(w.since, 10) + "&timeout_ms=" + strconv.FormatInt(wait.Milliseconds(), 10)
 		limit = limit.Add(wait)
 	}
-	status, body, err := link.ask(ctx, http.MethodGet, path, nil, limit)
-	if err != nil && !time.Now().Before(limit) { // wherever in an answer, whatever it reads as
+	said, err := link.ask(ctx, http.MethodGet, path, nil, limit)
+	switch {
+	case err == nil && said.status != http.StatusOK:
+		return state.News{}, fmt.Errorf("status %d", said.status)
+	case err == nil:
+		news, err := ParseList(said.body, d.Names)
+		if err != nil {
+			return state.News{}, &unreadError{said.began, said.body, err}
+		}
+		return news, nil
+	case !said.began.IsZero() && !(!w.whole() && tellsNothing(said.body, w.since)):
+		return state.News{}, &unreadError{said.began, said.body, err}
+	case !time.Now().Before(limit) || !said.began.IsZero():
 		return state.News{}, fmt.Errorf("%w: %w", errSilent, err)
+	case errors.Is(err, io.EOF) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE):
+		return state.News{}, fmt.Errorf("%w: %w", errEnded, err)
 	}
-	if err != nil {
-		return state.News{}, err
-	}
-	if status != http.StatusOK {
-		return state.News{}, fmt.Errorf("status %d", status)
-	}
-	return ParseList(body, d.names)
+	return state.News{}, err
 }
 
 // ParseList reads discovery's list, or its changes.
@@ -229,20 +317,7 @@
 		news.Form = control.ListFull
 	}
 	for _, s := range list.Get("servers").Array() {
-		t := state.Target{ID: s.Get("id").String(), Addr: s.Get("addr").String()}
-		t.Destination = int(s.Get("cell").Int())
-		t.Kind, t.Zone = index(n.Kinds, s.Get("kind")), index(n.Zones, s.Get("zone"))
-		t.Weight = s.Get("weight").Float()
-		switch s.Get("state").String() {
-		case "up":
-			t.State = control.Ready
-		case "draining":
-			t.State = control.Draining
-		case "removed":
-			t.State = control.Removed
-		default:
-			t.State = control.Draining // a state not known here: nothing new goes there
-		}
+		t := targetOf(s, n)
 		if t.ID == "" {
 			return state.News{}, fmt.Errorf("list: an entry without id")
 		}
@@ -251,6 +326,47 @@
 	return news, nil
 }
 
+// targetOf reads one entry of a list.
+func targetOf(s gjson.Result, n Names) state.Target {
+	t := state.Target{ID: s.Get("id").String(), Addr: s.Get("addr").String()}
+	t.Destination = int(s.Get("cell").Int())
+	t.Kind, t.Zone = index(n.Kinds, s.Get("kind")), index(n.Zones, s.Get("zone"))
+	t.Weight = s.Get("weight").Float()
+	switch s.Get("state").String() {
+	case "up":
+		t.State = control.Ready
+	case "draining":
+		t.State = control.Draining
+	case "removed":
+		t.State = control.Removed
+	default:
+		t.State = control.Draining // a state not known here: nothing new goes there
+	}
+	return t
+}
+
+// leavingOf reads the targets that drain or are gone off the part of a list that came. Entries that are not whole are
+// left out.
+func leavingOf(part []byte, n Names) (leaving []state.Target) {
+	gjson.GetBytes(part, "servers").ForEach(func(_, entry gjson.Result) bool {
+		if !gjson.Valid(entry.Raw) || !entry.IsObject() {
+			return false
+		}
+		if t := targetOf(entry, n); t.ID != "" && t.State != control.Ready {
+			leaving = append(leaving, t)
+		}
+		return true
+	})
+	return leaving
+}
+
+// tellsNothing tells whether the part of a list that came names the version that is known already, whole.
+func tellsNothing(part []byte, known int64) bool {
+	version := gjson.GetBytes(part, "version")
+	whole := version.Index+len(version.Raw) < len(part) // more digits could follow
+	return version.Type == gjson.Number && whole && version.Int() == known
+}
+
 // index is the number of a name; one that the settings don't know has none.
 func index(names map[string]int, v gjson.Result) int {
 	if i, known := names[v.String()]; known {
--- a/internal/protocol/link.go
+++ b/internal/protocol/link.go
@@ -10,6 +10,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"syscall"
@@ -161,12 +162,27 @@
 
 // A dialog asks one address one thing after another on a connection that it keeps.
 type dialog struct {
-	addr string
-	link *link
+	addr   string
+	link   *link
+	steady steadiness // how an answer must go on once it has begun; zero: by the question's deadline alone
 }
 
-// ask sends a request and reads its answer, by the deadline. It never asks twice.
-func (d *dialog) ask(ctx context.Context, method, path string, body []byte, deadline time.Time) (int, []byte, error) {
+// A steadiness bounds an answer from its first byte on, whatever the question's deadline is.
+type steadiness struct {
+	gap  time.Duration // no pause between two pieces is longer
+	most time.Duration // the whole answer takes no longer
+}
+
+// An exchange is what became of a question.
+type exchange struct {
+	status int
+	body   []byte    // as far as it came
+	began  time.Time // when the first byte of the answer was there; zero: none was
+}
+
+// ask sends a request and reads its answer, by the deadline. It never asks twice. With an error the exchange tells how
+// much of the answer came.
+func (d *dialog) ask(ctx context.Context, method, path string, body []byte, deadline time.Time) (exchange, error) {
 	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
 	if d.link != nil && d.link.stale() {
@@ -175,7 +191,7 @@
 	if d.link == nil {
 		l, err := dial(ctx, d.addr)
 		if err != nil {
-			return 0, nil, err
+			return exchange{}, err
 		}
 		d.link = l
 	}
@@ -190,17 +206,51 @@
 	out.Write(body)
 	if _, err := l.Write(out.Bytes()); err != nil {
 		d.hangUp()
-		return 0, nil, err
+		return exchange{}, err
 	}
-	r, err := l.answer(method, maxList, nil)
-	if err != nil {
+	e, last, err := d.hear(ctx, method)
+	if err != nil || last {
 		d.hangUp()
-		return 0, nil, err
 	}
-	if r.last {
-		d.hangUp()
+	return e, err
+}
+
+// hear reads the answer to a question that was sent, and tells whether the connection is of no use afterwards.
+func (d *dialog) hear(ctx context.Context, method string) (e exchange, last bool, err error) {
+	l := d.link
+	l.limit.N = maxHead + maxList
+	if _, err := l.in.Peek(1); err != nil {
+		return exchange{}, true, err
+	}
+	e.began = time.Now()
+	if d.steady.gap > 0 {
+		l.limit.R = &steadyReader{ctx: ctx, conn: l.Conn, gap: d.steady.gap, until: e.began.Add(d.steady.most)}
+		defer func() { l.limit.R = l.Conn }()
+	}
+	r, err := l.answer(method, maxList, nil)
+	e.status, e.body = r.status, r.body
+	return e, r.last, err
+}
+
+// A steadyReader reads a connection within the bounds of a steadiness, and only while its context lasts.
+type steadyReader struct {
+	ctx   context.Context
+	conn  net.Conn
+	gap   time.Duration
+	until time.Time
+}
+
+// Read fails with os.ErrDeadlineExceeded after a pause that is too long, or once the time is up.
+func (r *steadyReader) Read(p []byte) (int, error) {
+	by := time.Now().Add(r.gap)
+	if by.After(r.until) {
+		by = r.until
+	}
+	r.conn.SetReadDeadline(by)
+	if r.ctx.Err() != nil { // it ended while the deadline was moved
+		return 0, os.ErrDeadlineExceeded
 	}
-	return r.status, r.body, nil
+	return r.conn.Read(p)
 }
 
 // turn goes on with another address, if it is one.
--- a/internal/protocol/notices.go
+++ b/internal/protocol/notices.go
@@ -94,22 +94,22 @@
 			continue
 		}
 		kept := link.link != nil
-		status, _, err := link.ask(ctx, http.MethodPost, noticePath, encodeNotices(batch), time.Now().Add(link.span()))
+		said, err := link.ask(ctx, http.MethodPost, noticePath, encodeNotices(batch), time.Now().Add(link.span()))
 		switch {
-		case err == nil && status == http.StatusNoContent:
+		case err == nil && said.status == http.StatusNoContent:
 			n.done(len(batch))
 			wait, most = pauseFirst, noticeMost
 			continue
-		case err == nil && status == http.StatusBadRequest && len(batch) == 1:
+		case err == nil && said.status == http.StatusBadRequest && len(batch) == 1:
 			// One that can't be read never will be, and would hold up all the others.
 			n.log.Error("notice not readable to the platform, dropped", "id", batch[0].ID)
 			n.done(1)
 			continue
-		case err == nil && status == http.StatusBadRequest:
+		case err == nil && said.status == http.StatusBadRequest:
 			most = 1 // find out which one it is
 			continue
 		}
-		n.log.Warn("notices not delivered", "count", len(batch), "status", status, "err", err)
+		n.log.Warn("notices not delivered", "count", len(batch), "status", said.status, "err", err)
 		if kept && err != nil {
 			continue // at once, on a new connection
 		}
--- a/internal/protocol/reset_test.go
+++ b/internal/protocol/reset_test.go
@@ -224,7 +224,7 @@
 		return list("new")
 	})
 	p := newPosts()
-	d := NewDiscovery(p, old, testNames, 10*time.Second, 0, quiet)
+	d := NewDiscovery(p, DiscoverySetup{Addr: old, Names: testNames, MustAsk: 10 * time.Second, Rest: 0, Log: quiet})
 	ctx, cancel := context.WithCancel(t.Context())
 	ended := make(chan struct{})
 	go func() { defer close(ended); d.Run(ctx) }()
--- a/internal/protocol/send.go
+++ b/internal/protocol/send.go
@@ -118,8 +118,8 @@
 	if err != nil {
 		return control.NoConnection
 	}
-	d := dialog{t.Addr, l}
-	status, _, err := d.ask(ctx, "GET", "/ping", nil, deadline)
+	d := dialog{addr: t.Addr, link: l}
+	said, err := d.ask(ctx, http.MethodGet, "/ping", nil, deadline)
 	switch {
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return control.TimedOut
@@ -129,7 +129,7 @@
 	if d.link != nil {
 		s.pool.put(t.ID, d.link)
 	}
-	return resultOf(status)
+	return resultOf(said.status)
 }
 
 // connect takes a connection that lies idle, or opens one.
--- a/internal/protocol/silence_test.go
+++ b/internal/protocol/silence_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -13,16 +14,20 @@
 
 const changedList = `{"version":9,"full":false,"servers":[{"id":"a","state":"draining","cell":1}]}`
 
-// A watch that falls silent at any point of an answer is opened anew, without a wait, and what it missed is known
-// within the 6 s after which that counts as told.
+// A watch that falls silent is opened anew, without a wait: before an answer so that what it missed is known within the
+// 6 s after which that counts as told, in an answer within a second, as what has begun to come counts as told at once.
 func TestSilentWatch(t *testing.T) {
 	answer := socktest.JSON(changedList)
-	for _, c := range []struct{ name, first string }{
-		{"before an answer", socktest.Hang},
-		{"in the first line", answer[:9]},
-		{"in the head", answer[:30]},
-		{"at the end of the head", answer[:len(answer)-len(changedList)]},
-		{"in the list", answer[:len(answer)-20]},
+	for _, c := range []struct {
+		name, first string
+		unread      bool
+		within      time.Duration
+	}{
+		{"before an answer", socktest.Hang, false, 6 * time.Second},
+		{"in the first line", answer[:9], true, time.Second},
+		{"in the head", answer[:30], true, time.Second},
+		{"at the end of the head", answer[:len(answer)-len(changedList)], true, time.Second},
+		{"in the list", answer[:len(answer)-20], true, time.Second},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
@@ -38,17 +43,22 @@
 				return answer
 			})
 			p := newPosts()
-			d := NewDiscovery(p, addr, testNames, 10*time.Second, 0, quiet)
+			d := NewDiscovery(p, DiscoverySetup{Addr: addr, Names: testNames, MustAsk: 10 * time.Second, Rest: 0, Log: quiet})
 			ctx, cancel := context.WithCancel(t.Context())
 			ended := make(chan struct{})
 			go func() { defer close(ended); d.Run(ctx) }()
 			defer func() { cancel(); <-ended }()
 			began := time.Now()
 			d.Watch(true, 4)
+			if c.unread {
+				if u := next[state.Unread](t, p); u.At.Sub(began) > 200*time.Millisecond {
+					t.Errorf("an answer that began %v after the question", u.At.Sub(began))
+				}
+			}
 			if n := next[state.News](t, p); n.Form != control.ListDelta || n.Version != 9 {
 				t.Errorf("%+v", n)
 			}
-			if took := time.Since(began); took > 6*time.Second {
+			if took := time.Since(began); took > c.within {
 				t.Errorf("known after %v", took)
 			}
 			if len(asked) < 2 {
@@ -66,7 +76,7 @@
 	asked := make(chan struct{}, 8)
 	addr := socktest.Serve(t, func(int, *http.Request, string) string { asked <- struct{}{}; return socktest.Hang })
 	p := newPosts()
-	d := NewDiscovery(p, addr, testNames, 10*time.Millisecond, 0, quiet)
+	d := NewDiscovery(p, DiscoverySetup{Addr: addr, Names: testNames, MustAsk: 10 * time.Millisecond, Rest: 0, Log: quiet})
 	ctx, cancel := context.WithCancel(t.Context())
 	ended := make(chan struct{})
 	go func() { defer close(ended); d.Run(ctx) }()
@@ -91,7 +101,7 @@
 		return socktest.JSON(`{"version":2,"full":true,"servers":[{"id":"b","state":"up","cell":1}]}`)
 	})
 	p := newPosts()
-	d := NewDiscovery(p, addr, testNames, 10*time.Second, 0, quiet)
+	d := NewDiscovery(p, DiscoverySetup{Addr: addr, Names: testNames, MustAsk: 10 * time.Second, Rest: 0, Log: quiet})
 	ctx, cancel := context.WithCancel(t.Context())
 	ended := make(chan struct{})
 	go func() { defer close(ended); d.Run(ctx) }()
@@ -136,3 +146,32 @@
 		t.Errorf("told on connections %d, %d, %d", a, b, c)
 	}
 }
+
+// Of an answer that broke off, the targets that are named whole as draining or gone are known, and one that could only
+// have told the version that is known has told nothing.
+func TestPartOfAList(t *testing.T) {
+	const list = `{"version":41,"full":false,"servers":[{"id":"a","state":"draining","cell":1},{"id":"b","state":"up","cell":1},{"id":"c","state":"removed","cell":1}]}`
+	for cut := range len(list) {
+		part := []byte(list[:cut])
+		var ids string
+		for _, target := range leavingOf(part, testNames) {
+			ids += target.ID
+		}
+		want := ""
+		if cut >= strings.Index(list, `},{"id":"b"`)+1 {
+			want = "a"
+		}
+		if cut >= strings.Index(list, `}]}`)+1 {
+			want = "ac"
+		}
+		if ids != want {
+			t.Errorf("of %s: %q leave, want %q", part, ids, want)
+		}
+		if is, want := tellsNothing(part, 41), cut > strings.Index(list, "41,")+2; is != want {
+			t.Errorf("%s tells nothing new: %t", part, is)
+		}
+		if tellsNothing(part, 4) {
+			t.Errorf("%s is taken for version 4", part)
+		}
+	}
+}
--- a/internal/protocol/socket_test.go
+++ b/internal/protocol/socket_test.go
@@ -452,7 +452,7 @@
 		return fmt.Sprintf("HTTP/1.1 200 x\r\nContent-Length: %d\r\n\r\n%s", len(list), list)
 	})
 	p := newPosts()
-	d := NewDiscovery(p, addr, testNames, time.Second, 0, quiet)
+	d := NewDiscovery(p, DiscoverySetup{Addr: addr, Names: testNames, MustAsk: time.Second, Rest: 0, Log: quiet})
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
 	go d.Run(ctx)
@@ -487,7 +487,7 @@
 		first, then string
 	}{{0, "since=0&timeout_ms=1000", "since=0&timeout_ms=1000"}, {state.NoVersion, "", "since=0&timeout_ms=1000"}} {
 		ctx, cancel := context.WithCancel(t.Context())
-		d := NewDiscovery(newPosts(), addr, testNames, time.Second, rest, quiet)
+		d := NewDiscovery(newPosts(), DiscoverySetup{Addr: addr, Names: testNames, MustAsk: time.Second, Rest: rest, Log: quiet})
 		ended := make(chan struct{})
 		go func() { defer close(ended); d.Run(ctx) }()
 		d.Watch(true, c.since)
--- /dev/null
+++ b/internal/state/certainty.go
@@ -0,0 +1,107 @@
+package state
+
+import (
+	"time"
+
+	"cleathold/control"
+)
+
+// What discovery has begun to write counts as told, whether or not it could be read (PROTOCOL, 'The rules on sockets').
+// From the first byte of an answer that broke off until the next whole one the list of targets is uncertain: a target on
+// it may drain. Before the grace of drains is over, counted from that byte, nothing new goes to any target.
+
+const (
+	// holdMargin is left between the last send and the end of the grace of drains: the process may be held up, and a call
+	// that leaves takes its time.
+	holdMargin = 250 * time.Millisecond
+	// uncertainSpan is UncertainSpan where the settings tell no period for asking.
+	uncertainSpan = 10 * time.Second
+)
+
+// UncertainSpan is how long sends are held back after discovery last began an answer that could not be read. If nothing
+// was heard of it for so long, as in an outage, the list that is known counts again.
+func UncertainSpan(mustAsk time.Duration) time.Duration {
+	if mustAsk <= 0 {
+		return uncertainSpan
+	}
+	return mustAsk
+}
+
+// Unread tells that an answer of discovery began at a time and could not be read, or not to its end. Leaving are the
+// targets that the part which came names as draining or gone.
+type Unread struct {
+	At      time.Time
+	Leaving []Target
+}
+
+// A certainty tells from when until when sends are held back because the list may not be the one that was told last.
+type certainty struct {
+	first time.Time // when the first answer that could not be read began; zero: the list is known
+	last  time.Time // and the latest
+}
+
+// doubt notes an answer that could not be read.
+func (c *certainty) doubt(at time.Time) {
+	if c.first.IsZero() {
+		c.first = at
+	}
+	c.last = at
+}
+
+// holds tells whether nothing new may be sent at a time, and when to look again; the zero time stands for never.
+func (c *certainty) holds(now time.Time, grace, span time.Duration) (held bool, next time.Time) {
+	if c.first.IsZero() {
+		return false, time.Time{}
+	}
+	from, to := c.first.Add(grace-min(holdMargin, grace/2)), c.last.Add(span)
+	switch {
+	case now.Before(from):
+		return false, from
+	case now.Before(to):
+		return true, to
+	}
+	*c = certainty{}
+	return false, time.Time{}
+}
+
+// unread takes the news that an answer of discovery could not be read.
+func (l *Loop) unread(u Unread) {
+	l.certain.doubt(u.At)
+	l.counters.unread.Add(1)
+	if lines := l.group.takeLeaving(u.Leaving, l.now); len(lines) > 0 {
+		l.log.Info("targets that leave, by a part of the list", "targets", len(lines))
+		l.ctl.Endpoints(l.since(), control.ListAside, lines)
+		l.unlisted()
+	}
+	l.reviewList()
+}
+
+// listKnown takes a whole answer: all that was told before is known with it.
+func (l *Loop) listKnown() {
+	l.certain = certainty{}
+	l.reviewList()
+}
+
+// reviewList holds sends back, or lets them go on, by what is known of the list. It sees to it that it is called again.
+func (l *Loop) reviewList() {
+	if l.heir != nil {
+		return // another process sends
+	}
+	held, next := l.certain.holds(l.now, l.set.DrainGrace, UncertainSpan(l.set.MustAsk))
+	if !next.IsZero() {
+		at := next
+		time.AfterFunc(max(0, at.Sub(l.now)), func() { l.Post(inspect(l.reviewList)) })
+	}
+	lines, changed := l.group.hold(held)
+	if !changed {
+		return
+	}
+	if held {
+		l.counters.holds.Add(1)
+		l.log.Warn("nothing new is sent until the list of targets is known", "targets", len(lines))
+	} else {
+		l.log.Info("sending goes on", "targets", len(lines))
+	}
+	l.ctl.Endpoints(l.since(), control.ListAside, lines)
+	l.unlisted()
+}
--- a/internal/state/count.go
+++ b/internal/state/count.go
@@ -8,6 +8,8 @@
 // Counters count what loops of one process do, one after another. The loop adds, anyone may read.
 type Counters struct {
 	taken, refused, delivered, deferred, undeliverable, called, late, firstCall, open atomic.Int64
+
+	unread, holds atomic.Int64
 }
 
 // Counts are what counters show, since the start of the process but for Open.
@@ -21,6 +23,8 @@
 	Late          int64         `json:"late"`          // of them, those that waited for it longer than LateSpan
 	FirstCall     time.Duration `json:"first_call_ns"` // sum of the times from the taking on to that
 	Open          int           `json:"open"`          // messages that are owed their end now
+	Unread        int64         `json:"unread"`        // answers of discovery that began and could not be read
+	Holds         int64         `json:"holds"`         // times that sends were held back because of it
 }
 
 // Counts reads them. They are not of one instant.
@@ -28,6 +32,7 @@
 	return Counts{
 		Taken: c.taken.Load(), Refused: c.refused.Load(), Delivered: c.delivered.Load(), Deferred: c.deferred.Load(),
 		Undeliverable: c.undeliverable.Load(), Called: c.called.Load(), Late: c.late.Load(), FirstCall: time.Duration(c.firstCall.Load()), Open: int(c.open.Load()),
+		Unread: c.unread.Load(), Holds: c.holds.Load(),
 	}
 }
 
--- a/internal/state/handover.go
+++ b/internal/state/handover.go
@@ -23,6 +23,9 @@
 	Out     []Abroad
 	Drained bool // clients are sent away, by hand
 	Lease   lease.Book
+
+	// Uncertain is for how long the list has been uncertain; 0 = it is not. See certainty.
+	Uncertain time.Duration
 }
 
 // Abroad is a forward that another process has out.
@@ -97,6 +100,9 @@
 	g := l.leaving
 	l.leaving = nil
 	e := Estate{At: l.now, Version: l.group.version, Known: map[string]control.Recollection{}}
+	if !l.certain.first.IsZero() {
+		e.Uncertain = max(1, l.now.Sub(l.certain.first))
+	}
 	for _, r := range l.ctl.Recall(l.since()) {
 		if t := l.group.byNum[r.Endpoint]; t != nil {
 			e.Known[t.ID] = r
@@ -186,6 +192,10 @@
 	}
 	l.backlog = append(l.backlog, News{Form: control.ListCached, Version: e.Version, Targets: e.Targets}, inspect(func() {
 		since := max(0, l.now.Sub(e.At))
+		if e.Uncertain > 0 {
+			l.certain.doubt(l.now.Add(-since - e.Uncertain))
+			l.reviewList()
+		}
 		var list []control.Recollection
 		for id, r := range e.Known {
 			t := l.group.byID[id]
--- a/internal/state/loop.go
+++ b/internal/state/loop.go
@@ -76,6 +76,8 @@
 	heir    Heir           // to whom everything was given
 	abroad  map[abroad]int // forwards out at another process, and in which of its calls
 
+	certain certainty // whether the list of targets is the one that was told last
+
 	begun    bool
 	stopped  bool // no new messages
 	halted   bool // no new forwards
@@ -322,6 +324,11 @@
 		l.ctl.Endpoints(l.since(), e.Form, l.group.take(e, l.now))
 		l.unlisted()
 		l.tellListing()
+		if e.Form == control.ListFull || e.Form == control.ListDelta {
+			l.listKnown()
+		}
+	case Unread:
+		l.unread(e)
 	case Resend:
 		l.admitHeld(e)
 	case Stored:
--- a/internal/state/table.go
+++ b/internal/state/table.go
@@ -178,12 +178,13 @@
 	served  map[int]bool         // destinations that have or had a target
 	left    map[string]time.Time // targets off the list, and since when
 	aside   map[string]bool      // ids of targets that operators have taken out
+	held    bool                 // nothing new goes to any target
 }
 
-// shown is a target as the controller is to see it: one that is taken out drains.
+// shown is a target as the controller is to see it: one that is taken out drains, and all do while sends are held back.
 func (g *group) shown(t *Target) control.Endpoint {
 	e := t.Endpoint
-	if g.aside[t.ID] && e.State == control.Ready {
+	if (g.held || g.aside[t.ID]) && e.State == control.Ready {
 		e.State = control.Draining
 	}
 	return e
@@ -206,6 +207,31 @@
 	return lines
 }
 
+// hold holds sends to all targets back, or lets them go on, and returns the lines of those that change by it.
+func (g *group) hold(held bool) (lines []control.Endpoint, changed bool) {
+	if g.held == held {
+		return nil, false
+	}
+	g.held = held
+	for id, t := range g.byID {
+		if _, gone := g.left[id]; !gone && t.State == control.Ready && !g.aside[id] {
+			lines = append(lines, g.shown(t))
+		}
+	}
+	slices.SortFunc(lines, func(a, b control.Endpoint) int { return cmp.Compare(a.ID, b.ID) })
+	return lines, true
+}
+
+// takeLeaving enters targets that drain or are gone, of those that are known, and returns their lines. The version of the
+// list stays: there may be more to it.
+func (g *group) takeLeaving(leaving []Target, now time.Time) []control.Endpoint {
+	known := slices.DeleteFunc(slices.Clone(leaving), func(t Target) bool { return g.byID[t.ID] == nil })
+	if len(known) == 0 {
+		return nil
+	}
+	return g.take(News{Form: control.ListDelta, Version: g.version, Targets: known}, now)
+}
+
 // listed are the targets that are on the list, by id.
 func (g *group) listed() []Listed {
 	list := make([]Listed, 0, len(g.byID))
