Reproduce the incident's own cause: a change right after an answer, in a large fleet (fails)

The pauses of all four instances are the rest after news of a fleet of about 50: a change within 200 ms of an answer counts as told, and is known only after 2.25 to 2.75 s.

--- a/cmd/cleathold/cut_answer_test.go
+++ b/cmd/cleathold/cut_answer_test.go
@@ -145,55 +145,91 @@
 	}
 }
 
-func breakOff(t *testing.T, fail func(*net.TCPConn, string), faulty int, span time.Duration) {
-	const grace = time.Second
-	w := newWorld(t, func(string) string { return socktest.Status(200) })
-	var mu sync.Mutex
-	var last time.Time // of the calls
-	calls := 0
-	w.raw = func(*http.Request) string {
-		mu.Lock()
-		defer mu.Unlock()
-		last = time.Now()
-		calls++
-		return socktest.Status(200)
+// A watch goes on for 200 ms after an answer: a change in that time counts as told, also where a large fleet's sender
+// rests before it asks again.
+func TestChangeRightAfterAnAnswer(t *testing.T) {
+	t.Parallel()
+	const grace = 2 * time.Second
+	x := newDrainWorld(t, nil, grace, 50)
+	x.change("up", 0, 0)
+	for until := time.Now().Add(10 * time.Second); x.toldAt().IsZero(); time.Sleep(time.Millisecond) {
+		if time.Now().After(until) {
+			t.Fatal("no question to discovery")
+		}
 	}
-	d := newCatalog(w.target, fail)
-	w.tune = func(config map[string]any) {
-		config["settings"].(map[string]any)["guarantees"].(map[string]any)["drain-grace-ms"] = grace.Milliseconds()
+	time.Sleep(100 * time.Millisecond)
+	x.change("draining", 0, 0)
+	told := time.Now()
+	x.send("a", told.Add(4*time.Second))
+	if last, _ := x.calls(); last.Sub(told) > grace+50*time.Millisecond {
+		t.Errorf("a call reached the target %v after the drain was told", last.Sub(told))
 	}
-	w.configure(socktest.Accept(t, d.serve))
-	w.start()
-	w.handIn("safe", "first")
-	send := func(round string, enough func() bool) {
-		for i := 0; !enough(); i++ {
-			w.ask(request("safe", round+strconv.Itoa(i), "hi"))
-			time.Sleep(10 * time.Millisecond)
-		}
+}
+
+// A drainWorld is a sender with a catalog and one target, whose calls are counted.
+type drainWorld struct {
+	*world
+	*catalog
+	mu    sync.Mutex
+	last  time.Time
+	count int
+}
+
+func newDrainWorld(t *testing.T, fail func(*net.TCPConn, string), grace time.Duration, siblings int) *drainWorld {
+	x := &drainWorld{world: newWorld(t, nil)}
+	x.raw = func(*http.Request) string {
+		x.mu.Lock()
+		defer x.mu.Unlock()
+		x.last = time.Now()
+		x.count++
+		return socktest.Status(http.StatusOK)
 	}
-	began := time.Now()
-	d.change("draining", faulty, span)
-	send("a", func() bool { return time.Since(began) > 3500*time.Millisecond })
-	told := d.toldAt()
-	mu.Lock()
-	late, before := last.Sub(told), calls
-	mu.Unlock()
+	x.catalog = newCatalog(x.world.target, fail)
+	x.tune = func(config map[string]any) {
+		set := config["settings"].(map[string]any)
+		set["siblings"] = siblings
+		set["guarantees"].(map[string]any)["drain-grace-ms"] = grace.Milliseconds()
+	}
+	x.configure(socktest.Accept(t, x.serve))
+	x.start()
+	x.handIn("safe", "first")
+	return x
+}
+
+// calls tells when the latest call came, and how many did.
+func (x *drainWorld) calls() (last time.Time, count int) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.last, x.count
+}
+
+// send hands messages in until a time.
+func (x *drainWorld) send(round string, until time.Time) {
+	for i := 0; time.Now().Before(until); i++ {
+		x.ask(request("safe", round+strconv.Itoa(i), "hi"))
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+func breakOff(t *testing.T, fail func(*net.TCPConn, string), faulty int, span time.Duration) {
+	const grace = time.Second
+	x := newDrainWorld(t, fail, grace, 1)
+	x.change("draining", faulty, span)
+	x.send("a", time.Now().Add(3500*time.Millisecond))
+	told := x.toldAt()
 	if told.IsZero() {
 		t.Fatal("the drain was never told")
 	}
-	if late > grace+50*time.Millisecond {
+	last, before := x.calls()
+	if late := last.Sub(told); late > grace+50*time.Millisecond {
 		t.Errorf("a call reached the target %v after the drain was told", late)
 	}
-	d.change("up", 0, 0)
-	again := time.Now()
-	send("b", func() bool {
-		mu.Lock()
-		defer mu.Unlock()
-		return calls > before || time.Since(again) > 5*time.Second
-	})
-	mu.Lock()
-	defer mu.Unlock()
-	if calls == before {
-		t.Error("no call within 5 s of the end of the drain")
+	x.change("up", 0, 0)
+	for round, until := 0, time.Now().Add(5*time.Second); time.Now().Before(until); round++ {
+		x.send(fmt.Sprint("b", round, "-"), time.Now().Add(100*time.Millisecond))
+		if _, count := x.calls(); count > before {
+			return
+		}
 	}
+	t.Error("no call within 5 s of the end of the drain")
 }
