Ask discovery again within 0.4 of the drain grace after news, or hold sends back

Cause of the incident: a sender of a large fleet rested 0.9 to 1.1 S (2.25 to 2.75 s at 50 siblings, 4.7 s at 300) after news. A watch goes on for 200 ms after an answer and a change in that time counts as told, so that it was known later than the grace (2 s) allows. Change: the rest is at most 0.4 of the grace, drawn evenly; the list is uncertain from the answer on, the next question is answered 400 ms before sends would be held back, and they are held back if it is not. A failed question in that state is asked again here, at fleet pace.

--- a/internal/protocol/discovery.go
+++ b/internal/protocol/discovery.go
@@ -35,8 +35,15 @@
 	// retryFirst is waited before an answer that broke off is asked for again; doubled up to retryMost.
 	retryFirst = 20 * time.Millisecond
 	retryMost  = 640 * time.Millisecond
-	// spreadPart of the grace of drains is the most over which a large fleet spreads the first of these asks.
-	spreadPart = 0.3
+	// retryFleet of the grace of drains takes the place of retryFirst in a large fleet, and retryFleetMost that of retryMost:
+	// what was told to all of it at one instant may have broken off for all.
+	retryFleet     = 0.3
+	retryFleetMost = 2400 * time.Millisecond
+	// restPart of the grace of drains is the most that a large fleet's sender rests after news. A watch goes on for 200 ms
+	// after an answer, in which changes count as told: they must be known before the grace is over.
+	restPart = 0.4
+	// confirmMargin is how long before sends are held back the first question after such a rest is to be answered.
+	confirmMargin = 400 * time.Millisecond
 )
 
 // errSilent tells of a question whose answer did not come in its time.
@@ -84,8 +91,8 @@
 	watch, fetch bool
 	since        int64
 	missed       bool      // the watch before fell silent or broke off: what it missed is asked for, without a wait
-	retries      int       // asks since an answer broke off; 0 = none did since the last that was whole
-	unread       time.Time // when the latest answer that broke off began
+	retries      int       // asks since the list became uncertain that failed
+	uncertain    time.Time // since when there may be more that was told; zero: nothing is
 }
 
 // whole tells that the whole list is asked for, not what has changed.
@@ -187,15 +194,28 @@
 		d.Log.Info("discovery: the list is known again", "asks", now.retries, "version", news.Version)
 	}
 	now.answered(news.Version)
+	rests := d.Rest > 0 && len(news.Targets) > 0
+	if rests && d.DrainGrace > 0 {
+		now.uncertain = time.Now()
+		news.Rests = true
+	}
 	d.post.Post(news)
-	if d.Rest > 0 && len(news.Targets) > 0 {
-		pause(ctx, time.Now().Add(d.Rest*9/10+rand.N(d.Rest/5)))
+	if rests {
+		pause(ctx, time.Now().Add(d.restAfterNews()))
 	} else if len(news.Targets) == 0 && time.Since(asked) < quickAnswer {
 		// A watch that does not wait must not become a storm of questions.
 		pause(ctx, time.Now().Add(quickAnswer))
 	}
 }
 
+// restAfterNews is how long a large fleet's sender waits between news and its next question.
+func (d *Discovery) restAfterNews() time.Duration {
+	if d.DrainGrace <= 0 {
+		return d.Rest*9/10 + rand.N(d.Rest/5)
+	}
+	return rand.N(min(d.Rest, time.Duration(restPart*float64(d.DrainGrace))))
+}
+
 // missed deals with a question that got no answer that can be used: it is asked again here, or is over.
 func (d *Discovery) missed(ctx context.Context, now *want, err error) {
 	var unread *unreadError
@@ -203,10 +223,10 @@
 	case errors.As(err, &unread):
 		d.Log.Warn("discovery: an answer broke off and is asked for again", "err", err, "bytes", len(unread.body), "asks", now.retries)
 		d.post.Post(state.Unread{At: unread.began, Leaving: leavingOf(unread.body, d.Names)})
-		now.unread = unread.began
+		now.uncertain = unread.began
 		d.retry(ctx, now)
-	case now.retries > 0 && time.Since(now.unread) < state.UncertainSpan(d.MustAsk):
-		d.Log.Info("discovery: no answer since one broke off, asked again", "err", err, "asks", now.retries)
+	case !now.uncertain.IsZero() && time.Since(now.uncertain) < state.UncertainSpan(d.MustAsk):
+		d.Log.Info("discovery: no answer while the list is uncertain, asked again", "err", err, "asks", now.retries)
 		d.retry(ctx, now)
 	case now.watch && !now.missed && (errors.Is(err, errSilent) || errors.Is(err, errEnded) && d.Rest == 0):
 		d.Log.Info("discovery: the watch fell silent or ended and is opened anew", "err", err)
@@ -218,13 +238,13 @@
 	}
 }
 
-// retry has the next question be one without a wait, after a short pause. A large fleet spreads the first: what was told
-// to all of it at one instant may have broken off for all.
+// retry has the next question be one without a wait, after a pause that doubles.
 func (d *Discovery) retry(ctx context.Context, now *want) {
-	wait := min(retryFirst<<min(now.retries, 10), retryMost)
-	if spread := min(d.Rest, time.Duration(spreadPart*float64(d.DrainGrace))); now.retries == 0 && spread > 0 {
-		wait = spread
+	first, most := retryFirst, retryMost
+	if d.Rest > 0 {
+		first, most = max(first, time.Duration(retryFleet*float64(d.DrainGrace))), retryFleetMost
 	}
+	wait := min(first<<min(now.retries, 10), most)
 	now.missed = true
 	now.retries++
 	pause(ctx, time.Now().Add(wait/2+rand.N(wait/2)))
@@ -276,10 +296,7 @@
 func (d *Discovery) get(ctx context.Context, link *dialog, w want) (state.News, error) {
 	path, limit := listPath, time.Now().Add(listSpan)
 	if !w.whole() {
-		wait := d.wait
-		if w.missed {
-			wait = time.Millisecond
-		}
+		wait := d.waitOf(w)
 		path += "?since=" + strconv.FormatInt(w.since, 10) + "&timeout_ms=" + strconv.FormatInt(wait.Milliseconds(), 10)
 		limit = limit.Add(wait)
 	}
@@ -303,6 +320,18 @@
 	return state.News{}, err
 }
 
+// waitOf is how long a watch is asked to wait. One on which it depends whether the list is known is answered in time for that.
+func (d *Discovery) waitOf(w want) time.Duration {
+	switch {
+	case w.missed:
+		return time.Millisecond
+	case !w.uncertain.IsZero():
+		by := w.uncertain.Add(state.HoldAfter(d.DrainGrace) - confirmMargin)
+		return min(d.wait, max(time.Millisecond, time.Until(by).Truncate(time.Millisecond)))
+	}
+	return d.wait
+}
+
 // ParseList reads discovery's list, or its changes.
 func ParseList(body []byte, n Names) (state.News, error) {
 	if !gjson.ValidBytes(body) {
--- a/internal/state/certainty.go
+++ b/internal/state/certainty.go
@@ -8,7 +8,8 @@
 
 // What discovery has begun to write counts as told, whether or not it could be read (PROTOCOL, 'The rules on sockets').
 // From the first byte of an answer that broke off until the next whole one the list of targets is uncertain: a target on
-// it may drain. Before the grace of drains is over, counted from that byte, nothing new goes to any target.
+// it may drain. So it is from an answer after which no question follows at once, as a watch goes on for 200 ms after it.
+// Before the grace of drains is over, counted from then, nothing new goes to any target.
 
 const (
 	// holdMargin is left between the last send and the end of the grace of drains: the process may be held up, and a call
@@ -27,6 +28,9 @@
 	return mustAsk
 }
 
+// HoldAfter is how long after the list became uncertain nothing new is sent any more.
+func HoldAfter(grace time.Duration) time.Duration { return grace - min(holdMargin, grace/2) }
+
 // Unread tells that an answer of discovery began at a time and could not be read, or not to its end. Leaving are the
 // targets that the part which came names as draining or gone.
 type Unread struct {
@@ -53,7 +57,7 @@
 	if c.first.IsZero() {
 		return false, time.Time{}
 	}
-	from, to := c.first.Add(grace-min(holdMargin, grace/2)), c.last.Add(span)
+	from, to := c.first.Add(HoldAfter(grace)), c.last.Add(span)
 	switch {
 	case now.Before(from):
 		return false, from
@@ -76,9 +80,13 @@
 	l.reviewList()
 }
 
-// listKnown takes a whole answer: all that was told before is known with it.
-func (l *Loop) listKnown() {
+// listKnown takes a whole answer: all that was told before is known with it. Where the next question comes after a rest,
+// what is told in the meantime is not.
+func (l *Loop) listKnown(rests bool) {
 	l.certain = certainty{}
+	if rests {
+		l.certain.doubt(l.now)
+	}
 	l.reviewList()
 }
 
--- a/internal/state/loop.go
+++ b/internal/state/loop.go
@@ -325,7 +325,7 @@
 		l.unlisted()
 		l.tellListing()
 		if e.Form == control.ListFull || e.Form == control.ListDelta {
-			l.listKnown()
+			l.listKnown(e.Rests)
 		}
 	case Unread:
 		l.unread(e)
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -53,6 +53,7 @@
 	Form    control.ListNews
 	Version int64
 	Targets []Target
+	Rests   bool // the next question does not follow at once
 }
 
 // A Forward is one attempt for one message.
