--- a/internal/lifecycle/serve.go
+++ b/internal/lifecycle/serve.go
@@ -223,7 +223,8 @@
 		loop.PostBefore(state.SetAside{IDs: ids}, time.Now().Add(tuneSpan))
 	})
 	p.machine.begin(listener)
-	log.Info("serving", "name", c.Name, "listen", listener.Addr().String())
+	log.Info("serving", "name", c.Name, "listen", listener.Addr().String(), "siblings", c.Settings.Siblings,
+		"list", c.Known.Version, "targets", len(c.Known.Targets), "discovery", c.Discovery)
 	for {
 		select {
 		case <-p.reload:
--- a/internal/protocol/listener.go
+++ b/internal/protocol/listener.go
@@ -49,11 +49,11 @@
 	places  chan struct{} // holds a token for each connection that is served
 	linger  chan struct{} // and for each that is read out before it is closed
 	closing atomic.Bool
-	leaving atomic.Bool    // messages are still taken, each as the last on its connection
-	crowded atomic.Bool    // a connection waits for a place: others end after their answer
-	away    atomic.Int64   // since when clients are sent away, Unix time in nanoseconds; 0 = they are not
-	wg      sync.WaitGroup // of connections that are served
-	out     sync.WaitGroup // and of those that are read out
+	leaving atomic.Bool               // messages are still taken, each as the last on its connection
+	crowded atomic.Bool               // a connection waits for a place: others end after their answer
+	away    atomic.Pointer[time.Time] // since when clients are sent away, by the monotonic clock; nil = they are not
+	wg      sync.WaitGroup            // of connections that are served
+	out     sync.WaitGroup            // and of those that are read out
 
 	keep   int     // so many connections are kept after a request
 	claims Claimer // nil: keys have no owner besides the table
@@ -201,7 +201,7 @@
 
 // ending tells that connections are to end after the answer under way.
 func (l *Listener) ending() bool {
-	if l.closing.Load() || l.leaving.Load() || l.crowded.Load() || l.away.Load() != 0 {
+	if l.closing.Load() || l.leaving.Load() || l.crowded.Load() || l.away.Load() != nil {
 		return true
 	}
 	l.mu.Lock()
@@ -216,13 +216,13 @@
 // Drain sends clients away: health says no, connections end with their next answer, idle ones at once,
 // and after a while messages get a fixed response. What was taken on is not touched.
 func (l *Listener) Drain() {
-	if l.away.CompareAndSwap(0, time.Now().UnixNano()) {
+	if now := time.Now(); l.away.CompareAndSwap(nil, &now) {
 		l.endIdle()
 	}
 }
 
 // Activate takes clients back.
-func (l *Listener) Activate() { l.away.Store(0) }
+func (l *Listener) Activate() { l.away.Store(nil) }
 
 // endIdle gives connections between requests a last look.
 func (l *Listener) endIdle() {
@@ -238,7 +238,7 @@
 // turnsAway tells whether a drained sender takes no message on any more.
 func (l *Listener) turnsAway() bool {
 	since := l.away.Load()
-	return since != 0 && time.Since(time.Unix(0, since)) > drainGrace
+	return since != nil && time.Since(*since) > drainGrace
 }
 
 // Close ends accepting and idle connections, and lets the others end with the answer that is under way. It waits until
@@ -283,7 +283,7 @@
 		k.SetDeadline(by)
 	case !idle:
 		k.SetDeadline(k.since.Add(readSpan))
-	case l.closing.Load() || (l.crowded.Load() || l.away.Load() != 0) && k.served:
+	case l.closing.Load() || (l.crowded.Load() || l.away.Load() != nil) && k.served:
 		k.SetDeadline(k.since.Add(closeGrace))
 	case !k.served:
 		k.SetDeadline(k.since.Add(readSpan))
@@ -376,7 +376,7 @@
 		if l.closing.Load() {
 			return l.reply(k, http.StatusServiceUnavailable, 0, "stopping", true)
 		}
-		if l.away.Load() != 0 {
+		if l.away.Load() != nil {
 			return l.reply(k, http.StatusServiceUnavailable, 0, "drained", true)
 		}
 		return l.reply(k, http.StatusOK, 0, "ok", last)
--- a/internal/state/handover.go
+++ b/internal/state/handover.go
@@ -17,6 +17,7 @@
 // Estate is what a process that leaves tells the next.
 type Estate struct {
 	At      time.Time
+	Stamp   int64 // the same by the time base of the journal; 0 = from a program that had none
 	Version int64
 	Targets []Target
 	Known   map[string]control.Recollection // by the ids of targets
@@ -99,7 +100,7 @@
 	}
 	g := l.leaving
 	l.leaving = nil
-	e := Estate{At: l.now, Version: l.group.version, Known: map[string]control.Recollection{}}
+	e := Estate{At: l.now, Stamp: l.journal.base.stampOf(l.now), Version: l.group.version, Known: map[string]control.Recollection{}}
 	if !l.certain.first.IsZero() {
 		e.Uncertain = max(1, l.now.Sub(l.certain.first))
 	}
@@ -181,6 +182,14 @@
 	attempt int
 }
 
+// estateAt is when an estate was told. Its wall time does not outlast a step of the clock.
+func (l *Loop) estateAt(e *Estate) time.Time {
+	if e.Stamp == 0 {
+		return e.At
+	}
+	return l.journal.base.timeOf(e.Stamp)
+}
+
 // inherit takes up what the process before this one has told, before the loop's first round.
 func (l *Loop) inherit(e *Estate) {
 	l.abroad = map[abroad]int{}
@@ -191,7 +200,7 @@
 		}
 	}
 	l.backlog = append(l.backlog, News{Form: control.ListCached, Version: e.Version, Targets: e.Targets}, inspect(func() {
-		since := max(0, l.now.Sub(e.At))
+		since := max(0, l.now.Sub(l.estateAt(e)))
 		if e.Uncertain > 0 {
 			l.certain.doubt(l.now.Add(-since - e.Uncertain))
 			l.reviewList()
--- a/internal/state/journal.go
+++ b/internal/state/journal.go
@@ -14,12 +14,13 @@
 )
 
 // The journal is a store (internal/store) in the state folder: each message is an
-// entity, from its taking on until nothing more is owed. Times are Unix times in
-// microseconds. What a round adds is appended as one batch; nothing is rewritten whole.
+// entity, from its taking on until nothing more is owed. Times are stamps of its
+// timebase. What a round adds is appended as one batch; nothing is rewritten whole.
 const (
 	maxRecord = MaxBody + 4096
-	blockUnit = 512     // the disk counts files in whole units of this
-	batchMost = 1 << 20 // bytes that are appended at once
+	blockUnit = 512           // the disk counts files in whole units of this
+	sideFiles = 4 * blockUnit // kept free for the lock, the time base and its replacement
+	batchMost = 1 << 20       // bytes that are appended at once
 )
 
 // Forms of the journal, for those who put one program in the place of another: 1 was a single file, 2 is a store.
@@ -46,6 +47,7 @@
 	dirty bool           // a write failed: the store lacks something that the table holds
 
 	nowhere bool // nothing is written at all
+	base    *timebase
 }
 
 // takeCost is the part of the journal that a message may take: its own record
@@ -81,14 +83,14 @@
 // take adds a message that is taken on.
 func (j *journal) take(e *entry) {
 	j.batch = append(j.batch, store.Record{
-		Entity: uint64(e.num), Data: takeRecord(e), Time: e.Deadline.UnixMicro(), Dest: int64(e.Destination), Key: e.ID,
+		Entity: uint64(e.num), Data: takeRecord(j.base, e), Time: j.base.stampOf(e.Deadline), Dest: int64(e.Destination), Key: e.ID,
 	})
 }
 
 // enter adds one with all that was done for it.
 func (j *journal) enter(e *entry) {
 	j.take(e)
-	for _, p := range entryPayloads(e)[1:] {
+	for _, p := range entryPayloads(j.base, e)[1:] {
 		j.add(p)
 	}
 }
@@ -97,7 +99,7 @@
 // more, what is left takes the place of all before it, so that the body takes no room.
 func (j *journal) settled(e *entry) {
 	if len(e.Body) > 0 {
-		j.add(noticeRecord(e.notice))
+		j.add(noticeRecord(j.base, e.notice))
 		return
 	}
 	from := len(j.batch)
@@ -116,21 +118,21 @@
 	return binary.AppendUvarint([]byte{kind}, uint64(num))
 }
 
-func takeRecord(e *entry) []byte {
+func takeRecord(b *timebase, e *entry) []byte {
 	p := payload(recTake, e.num)
 	p = text(text(p, e.ID), e.Key)
 	for _, n := range []int{e.Class, e.Tenant, e.Destination} {
 		p = binary.AppendVarint(p, int64(n))
 	}
-	p = binary.AppendVarint(p, e.Deadline.UnixMicro())
+	p = binary.AppendVarint(p, b.stampOf(e.Deadline))
 	p = flag(p, e.Again)
 	p = text(p, string(e.Body))
 	return append(binary.AppendUvarint(p, e.seq), e.class...)
 }
 
-func forwardRecord(num control.MessageID, s sent) []byte {
+func forwardRecord(b *timebase, num control.MessageID, s sent) []byte {
 	p := binary.AppendUvarint(payload(recForward, num), uint64(s.attempt))
-	p = binary.AppendVarint(binary.AppendVarint(p, s.at.UnixMicro()), int64(s.zone))
+	p = binary.AppendVarint(binary.AppendVarint(p, b.stampOf(s.at)), int64(s.zone))
 	if s.target != "" || s.told {
 		p = flag(text(p, s.target), s.told)
 	}
@@ -152,7 +154,7 @@
 	formClients   = 16 // without the keeper it would be its client's again
 )
 
-func noticeRecord(n *Notice) []byte {
+func noticeRecord(b *timebase, n *Notice) []byte {
 	form := uint64(0)
 	bit := func(b uint64, on bool) {
 		if on {
@@ -169,23 +171,23 @@
 	p := binary.AppendUvarint(payload(recNotice, n.Num), form)
 	p = binary.AppendVarint(p, n.Again.Milliseconds())
 	if n.Kept != nil {
-		p = binary.AppendVarint(text(p, n.Kept.Reason), n.Kept.At.UnixMicro())
+		p = binary.AppendVarint(text(p, n.Kept.Reason), b.stampOf(n.Kept.At))
 	}
 	return p
 }
 
 // entryPayloads are the records of all that is known of one message. The count of
 // attempts is told by a spared record where the last one never ran.
-func entryPayloads(e *entry) [][]byte {
-	list := [][]byte{takeRecord(e)}
+func entryPayloads(b *timebase, e *entry) [][]byte {
+	list := [][]byte{takeRecord(b, e)}
 	for _, s := range e.ran {
-		list = append(list, forwardRecord(e.num, s))
+		list = append(list, forwardRecord(b, e.num, s))
 	}
 	if e.sends > 0 {
 		list = append(list, sparedRecord(e.num, e.sends-1+spareOffset))
 	}
 	if e.notice != nil {
-		list = append(list, noticeRecord(e.notice))
+		list = append(list, noticeRecord(b, e.notice))
 	}
 	return list
 }
@@ -223,22 +225,37 @@
 	return j.store.Close()
 }
 
+// A journalSetup is what a journal is opened with.
+type journalSetup struct {
+	dir        string
+	limit      int64 // bytes that the folder may hold
+	durability store.Durability
+	groupWait  time.Duration // where that is store.Group
+	classes    *classBook
+	virtual    bool // times are those of a laboratory, which go on by themselves
+	log        *slog.Logger
+}
+
 // openJournal reads what the folder's journal tells is owed. The file of a program
 // from before the store is taken over.
-func openJournal(dir string, limit int64, d store.Durability, wait time.Duration, classes *classBook, log *slog.Logger) (*journal, *table, error) {
+func openJournal(x journalSetup) (*journal, *table, error) {
+	dir, log := x.dir, x.log
 	if err := os.MkdirAll(dir, 0o700); err != nil {
 		return nil, nil, fmt.Errorf("journal: %w", err)
 	}
-	j := &journal{dir: dir, limit: limit - 2*blockUnit}
+	j := &journal{dir: dir, limit: x.limit - sideFiles}
 	if err := takeOver(dir, j.limit, log); err != nil {
 		return nil, nil, err
 	}
-	s, err := store.Open(store.Options{FS: store.Dir(dir), Budget: j.limit, Durability: d, GroupWait: wait, Log: log})
+	s, err := store.Open(store.Options{FS: store.Dir(dir), Budget: j.limit, Durability: x.durability, GroupWait: x.groupWait, Log: log})
 	if err != nil {
 		return nil, nil, fmt.Errorf("journal: %w", err)
 	}
 	j.store = s
-	t, err := tableOf(s, classes, log)
+	if !x.virtual {
+		j.base = openTimebase(dir, log)
+	}
+	t, err := tableOf(s, x.classes, j.base, log)
 	if err != nil {
 		s.Close()
 		return nil, nil, err
@@ -248,9 +265,9 @@
 
 // tableOf makes a table of what a store tells is owed. A message of which a damage
 // may hide a record counts as one that may have run.
-func tableOf(s *store.Store, classes *classBook, log *slog.Logger) (*table, error) {
+func tableOf(s *store.Store, classes *classBook, base *timebase, log *slog.Logger) (*table, error) {
 	t := newTable()
-	t.classes = classes
+	t.classes, t.base = classes, base
 	doubtful := 0
 	var failed error
 	s.Entities(func(e store.Entity) bool {
@@ -299,7 +316,7 @@
 		return nil, fmt.Errorf("journal: %w", err)
 	}
 	defer s.Close()
-	return tableOf(s, &classBook{}, log)
+	return tableOf(s, &classBook{}, lookTimebase(dir), log)
 }
 
 // A scan takes a payload apart; after the first misfit everything is zero and bad is set.
@@ -348,7 +365,7 @@
 	case recTake:
 		m := &Message{ID: s.text(), Key: s.text()}
 		m.Class, m.Tenant, m.Destination = int(s.number()), int(s.number()), int(s.number())
-		m.Deadline = time.UnixMicro(s.number())
+		m.Deadline = t.base.timeOf(s.number())
 		m.Again = s.count() == 1
 		m.Body = []byte(s.text())
 		seq := uint64(0)
@@ -364,7 +381,7 @@
 			t.add(&entry{Message: m, num: num, answered: true, seq: seq, class: t.classes.record(m.Class)})
 		}
 	case recForward:
-		f := sent{attempt: int(s.count()), at: time.UnixMicro(s.number()), zone: int(s.number())}
+		f := sent{attempt: int(s.count()), at: t.base.timeOf(s.number()), zone: int(s.number())}
 		if len(s.rest) > 0 {
 			f.target, f.told = s.text(), s.count() == 1
 		}
@@ -390,7 +407,7 @@
 		n := Notice{Num: num, Deferred: form&formDeferred != 0, Again: time.Duration(s.number()) * time.Millisecond}
 		if form&formKept != 0 {
 			n.Kept = &Parting{
-				Num: num, Reason: s.text(), At: time.UnixMicro(s.number()),
+				Num: num, Reason: s.text(), At: t.base.timeOf(s.number()),
 				Delivered: form&formDelivered != 0, Over: form&formOver != 0, Deferred: form&formClients != 0,
 			}
 		}
--- a/internal/state/loop.go
+++ b/internal/state/loop.go
@@ -86,7 +86,8 @@
 
 // NewLoop reads the journal and makes a loop; Run starts it.
 func NewLoop(s Setup) (*Loop, error) {
-	if s.Clock == nil {
+	virtual := s.Clock != nil
+	if !virtual {
 		s.Clock = time.Now
 	}
 	if s.Counters == nil {
@@ -102,7 +103,9 @@
 	}
 	j, t, err := &journal{limit: s.DiskBytes, nowhere: true}, newTable(), error(nil)
 	if t.classes = classes; !s.NoDir {
-		j, t, err = openJournal(s.Dir, s.DiskBytes, s.Durability, s.GroupWait, classes, s.Log)
+		j, t, err = openJournal(journalSetup{
+			dir: s.Dir, limit: s.DiskBytes, durability: s.Durability, groupWait: s.GroupWait, classes: classes, virtual: virtual, log: s.Log,
+		})
 	}
 	if err != nil {
 		return nil, err
--- a/internal/state/route.go
+++ b/internal/state/route.go
@@ -96,7 +96,7 @@
 			e.ran = append(e.ran, s)
 			l.firstCall(e)
 			l.tried(e, s)
-			l.journal.add(forwardRecord(e.num, s))
+			l.journal.add(forwardRecord(l.journal.base, e.num, s))
 		}
 	}
 }
--- a/internal/state/table.go
+++ b/internal/state/table.go
@@ -69,6 +69,7 @@
 	past    map[string]bool // ids of messages that are over...
 	expiry  []pastID        // ...until a time, in the order of it
 	classes *classBook
+	base    *timebase // of the journal that it was read from
 }
 
 // pastID is an id that is not taken again before a time.
--- a/internal/state/takeover.go
+++ b/internal/state/takeover.go
@@ -74,7 +74,7 @@
 func shrinkOld(dir string, t *table) error {
 	var live []byte
 	for _, e := range t.ordered() {
-		for _, p := range entryPayloads(e) {
+		for _, p := range entryPayloads(nil, e) {
 			live = oldRecord(live, p)
 		}
 	}
