Keep which targets have left, so that the next process does not send to them

Cause: a process starts with the list of its configuration. Change: their ids are kept in the state folder (256 and 4 KiB at most, replaced whole; what can't be written is tried again with the next list) and taken for draining at the start. 10 KiB of the folder's limit are kept free for the side files.

--- a/cmd/cleathold/cut_answer_test.go
+++ b/cmd/cleathold/cut_answer_test.go
@@ -6,8 +6,10 @@
 	"io"
 	"net"
 	"net/http"
+	"os/exec"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -25,6 +27,7 @@
 	faulty  int                               // so many answers about it fail...
 	until   time.Time                         // ...and all until then
 	fail    func(c *net.TCPConn, text string) // writes one that fails
+	silent  atomic.Bool                       // questions get no answer
 }
 
 func newCatalog(target string, fail func(c *net.TCPConn, text string)) *catalog {
@@ -60,7 +63,7 @@
 			io.WriteString(c, socktest.Status(http.StatusNoContent))
 			continue
 		}
-		if !d.answer(c, r) {
+		if d.silent.Load() || !d.answer(c, r) {
 			return
 		}
 	}
@@ -166,13 +169,39 @@
 	}
 }
 
+// A process that is started with the list of its configuration, while discovery says nothing, sends nothing to a target
+// of which the process before it was told that it drains.
+func TestRestartKnowsWhatLeft(t *testing.T) {
+	t.Parallel()
+	x := newDrainWorld(t, nil, time.Second, 1)
+	x.change("draining", 0, 0)
+	for until := time.Now().Add(10 * time.Second); x.toldAt().IsZero(); time.Sleep(time.Millisecond) {
+		if time.Now().After(until) {
+			t.Fatal("the drain was never told")
+		}
+	}
+	x.send("a", time.Now().Add(1200*time.Millisecond))
+	x.silent.Store(true)
+	x.kill(x.process)
+	x.process = x.start()
+	_, before := x.calls()
+	x.send("b", time.Now().Add(2*time.Second))
+	if _, count := x.calls(); count != before {
+		t.Errorf("%d calls reached the target after the restart", count-before)
+	}
+	x.silent.Store(false)
+	x.change("up", 0, 0)
+	x.serves(t, before)
+}
+
 // A drainWorld is a sender with a catalog and one target, whose calls are counted.
 type drainWorld struct {
 	*world
 	*catalog
-	mu    sync.Mutex
-	last  time.Time
-	count int
+	process *exec.Cmd
+	mu      sync.Mutex
+	last    time.Time
+	count   int
 }
 
 func newDrainWorld(t *testing.T, fail func(*net.TCPConn, string), grace time.Duration, siblings int) *drainWorld {
@@ -188,10 +217,13 @@
 	x.tune = func(config map[string]any) {
 		set := config["settings"].(map[string]any)
 		set["siblings"] = siblings
+		config["known"] = map[string]any{"version": 1, "full": true, "servers": []map[string]any{
+			{"id": "s", "addr": x.world.target, "zone": "z", "kind": "k", "cell": 7, "state": "up", "weight": 150},
+		}}
 		set["guarantees"].(map[string]any)["drain-grace-ms"] = grace.Milliseconds()
 	}
 	x.configure(socktest.Accept(t, x.serve))
-	x.start()
+	x.process = x.start()
 	x.handIn("safe", "first")
 	return x
 }
@@ -225,8 +257,14 @@
 		t.Errorf("a call reached the target %v after the drain was told", late)
 	}
 	x.change("up", 0, 0)
+	x.serves(t, before)
+}
+
+// serves waits until there are more calls than before.
+func (x *drainWorld) serves(t *testing.T, before int) {
+	t.Helper()
 	for round, until := 0, time.Now().Add(5*time.Second); time.Now().Before(until); round++ {
-		x.send(fmt.Sprint("b", round, "-"), time.Now().Add(100*time.Millisecond))
+		x.send(fmt.Sprint("again", round, "-"), time.Now().Add(100*time.Millisecond))
 		if _, count := x.calls(); count > before {
 			return
 		}
--- a/internal/state/certainty.go
+++ b/internal/state/certainty.go
@@ -76,6 +76,7 @@
 		l.log.Info("targets that leave, by a part of the list", "targets", len(lines))
 		l.ctl.Endpoints(l.since(), control.ListAside, lines)
 		l.unlisted()
+		l.departures.follow(l.group)
 	}
 	l.reviewList()
 }
--- a/internal/state/journal.go
+++ b/internal/state/journal.go
@@ -18,9 +18,9 @@
 // timebase. What a round adds is appended as one batch; nothing is rewritten whole.
 const (
 	maxRecord = MaxBody + 4096
-	blockUnit = 512           // the disk counts files in whole units of this
-	sideFiles = 4 * blockUnit // kept free for the lock, the time base and its replacement
-	batchMost = 1 << 20       // bytes that are appended at once
+	blockUnit = 512                            // the disk counts files in whole units of this
+	sideFiles = 4*blockUnit + 2*departuresSize // kept free for the lock, the time base, departures, and what replaces them
+	batchMost = 1 << 20                        // bytes that are appended at once
 )
 
 // Forms of the journal, for those who put one program in the place of another: 1 was a single file, 2 is a store.
--- a/internal/state/loop.go
+++ b/internal/state/loop.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"slices"
 	"time"
 
 	"cleathold/control"
@@ -76,7 +77,8 @@
 	heir    Heir           // to whom everything was given
 	abroad  map[abroad]int // forwards out at another process, and in which of its calls
 
-	certain certainty // whether the list of targets is the one that was told last
+	departures *departures
+	certain    certainty // whether the list of targets is the one that was told last
 
 	begun    bool
 	stopped  bool // no new messages
@@ -124,9 +126,15 @@
 		now[name] = i
 	}
 	l.tellClasses(now)
+	l.departures = &departures{}
+	if !s.NoDir {
+		l.departures = openDepartures(s.Dir, s.Log)
+	}
 	if s.Estate != nil {
 		l.inherit(s.Estate)
 	} else {
+		s.Known.Targets = slices.Clone(s.Known.Targets)
+		l.departures.apply(s.Known.Targets)
 		l.backlog = append(l.backlog, s.Known)
 	}
 	return l, nil
@@ -328,6 +336,7 @@
 		l.unlisted()
 		l.tellListing()
 		if e.Form == control.ListFull || e.Form == control.ListDelta {
+			l.departures.follow(l.group)
 			l.listKnown(e.Rests)
 		}
 	case Unread:
--- a/internal/state/table.go
+++ b/internal/state/table.go
@@ -208,6 +208,13 @@
 	return lines
 }
 
+// ready tells whether a target is on the list and not about to leave it.
+func (g *group) ready(id string) bool {
+	t := g.byID[id]
+	_, gone := g.left[id]
+	return t != nil && !gone && t.State == control.Ready
+}
+
 // hold holds sends to all targets back, or lets them go on, and returns the lines of those that change by it.
 func (g *group) hold(held bool) (lines []control.Endpoint, changed bool) {
 	if g.held == held {
@@ -215,7 +222,7 @@
 	}
 	g.held = held
 	for id, t := range g.byID {
-		if _, gone := g.left[id]; !gone && t.State == control.Ready && !g.aside[id] {
+		if g.ready(id) && !g.aside[id] {
 			lines = append(lines, g.shown(t))
 		}
 	}
