Decide in one place whether a send may leave, and count what left against a rule

Need: whether something may be sent was decided by the controller as it planned, and kept up by withholding in several places; nothing looked at a call as it left, so that the incident was seen from outside alone. Counts by reason stand in the status, and ids in the log; the listener counts connections, answers by status and requests without an answer; each change told by discovery is logged with how long ago it was asked for. Tests of ends check that a call tells when it left.

--- a/internal/admin/front.go
+++ b/internal/admin/front.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"cleathold/internal/lease"
+	"cleathold/internal/protocol"
 	"cleathold/internal/state"
 )
 
@@ -50,19 +51,20 @@
 
 // Status is how one process of a sender is.
 type Status struct {
-	Name     string       `json:"name"`
-	Process  string       `json:"process"` // drawn at its start
-	Pid      int          `json:"pid"`
-	Phase    string       `json:"phase"`
-	Epoch    uint64       `json:"epoch"` // the highest of an order that it has seen...
-	Ended    bool         `json:"ended"` // ...of which nothing stands
-	Stands   bool         `json:"stands"`
-	Until    time.Time    `json:"until,omitzero"`
-	Release  string       `json:"release,omitempty"`
-	Config   string       `json:"config"` // digest of the configuration in force
-	Started  time.Time    `json:"started"`
-	Counts   state.Counts `json:"counts"`
-	MemoryMB float64      `json:"memory_mb"`
+	Name     string          `json:"name"`
+	Process  string          `json:"process"` // drawn at its start
+	Pid      int             `json:"pid"`
+	Phase    string          `json:"phase"`
+	Epoch    uint64          `json:"epoch"` // the highest of an order that it has seen...
+	Ended    bool            `json:"ended"` // ...of which nothing stands
+	Stands   bool            `json:"stands"`
+	Until    time.Time       `json:"until,omitzero"`
+	Release  string          `json:"release,omitempty"`
+	Config   string          `json:"config"` // digest of the configuration in force
+	Started  time.Time       `json:"started"`
+	Counts   state.Counts    `json:"counts"`
+	Clients  protocol.Counts `json:"clients"`
+	MemoryMB float64         `json:"memory_mb"`
 }
 
 // Digest names a text.
--- a/internal/lifecycle/serve.go
+++ b/internal/lifecycle/serve.go
@@ -67,11 +67,11 @@
 	}
 	limitRuntime(c.Limits)
 	c.given = c.named()
-	p := &process{load: load, log: log, stop: stop, reload: reload, machine: newMachine(log), counters: &state.Counters{}}
+	p := &process{load: load, log: log, stop: stop, reload: reload, machine: newMachine(log), counters: &state.Counters{}, clients: &protocol.Counters{}}
 	var end context.CancelFunc
 	p.ctx, end = context.WithCancel(context.Background())
 	defer end()
-	p.board = &board{machine: p.machine, name: c.Name, release: c.Release, started: time.Now(), counters: p.counters}
+	p.board = &board{machine: p.machine, name: c.Name, release: c.Release, started: time.Now(), counters: p.counters, clients: p.clients}
 	p.inForce(c)
 	if c.Admin != "" {
 		front, err := admin.ListenTCP(c.Admin, p.board, log)
@@ -105,6 +105,7 @@
 	machine      *machine
 	board        *board
 	counters     *state.Counters
+	clients      *protocol.Counters
 	ctx          context.Context // ends with the process
 }
 
@@ -154,6 +155,7 @@
 	} else if listener, err = protocol.Listen(c.Listen, loop, c.Names, c.Settings.Classes, clients, c.Limits.Sockets/keepPart, log); err != nil {
 		return nil, fmt.Errorf("listen: %w", err)
 	}
+	listener.Count(p.clients)
 	plane, err := openPlane(*c, keeper, p.board, log)
 	if err != nil {
 		listener.Close(time.Now())
--- a/internal/lifecycle/status.go
+++ b/internal/lifecycle/status.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"cleathold/internal/admin"
+	"cleathold/internal/protocol"
 	"cleathold/internal/state"
 )
 
@@ -19,6 +20,7 @@
 	started  time.Time
 	config   atomic.Pointer[string] // digest of the configuration in force
 	counters *state.Counters
+	clients  *protocol.Counters
 	loop     atomic.Pointer[state.Loop] // once there is one
 }
 
@@ -38,7 +40,7 @@
 	id, is, book := d.standing()
 	s := admin.Status{
 		Name: d.name, Process: id, Pid: os.Getpid(), Phase: is.String(), Epoch: book.Epoch, Ended: book.Ended, Stands: book.Standing(), Until: book.Until,
-		Release: d.release, Started: d.started, Counts: d.counters.Counts(), MemoryMB: residentMB(),
+		Release: d.release, Started: d.started, Counts: d.counters.Counts(), Clients: d.clients.Counts(), MemoryMB: residentMB(),
 	}
 	if c := d.config.Load(); c != nil {
 		s.Config = *c
--- /dev/null
+++ b/internal/protocol/count.go
@@ -0,0 +1,38 @@
+package protocol
+
+import (
+	"net/http"
+	"strconv"
+	"sync/atomic"
+)
+
+// Counters count what listeners of one process do, one after another. Anyone may read.
+type Counters struct {
+	accepted, acceptFailed, requests, evicted, unanswered atomic.Int64
+
+	answers [http.StatusNetworkAuthenticationRequired + 1]atomic.Int64 // by status
+}
+
+// Counts are what counters show, since the start of the process.
+type Counts struct {
+	Accepted     int64            `json:"accepted"`      // connections
+	AcceptFailed int64            `json:"accept_failed"` // accepts that the system refused
+	Requests     int64            `json:"requests"`      // of which at least a first byte came
+	Answers      map[string]int64 `json:"answers,omitempty"`
+	Unanswered   int64            `json:"unanswered"` // requests whose connection ended with no whole answer
+	Evicted      int64            `json:"evicted"`    // connections that made room for others
+}
+
+// Counts reads them. They are not of one instant.
+func (c *Counters) Counts() Counts {
+	list := Counts{
+		Accepted: c.accepted.Load(), AcceptFailed: c.acceptFailed.Load(), Requests: c.requests.Load(),
+		Unanswered: c.unanswered.Load(), Evicted: c.evicted.Load(), Answers: map[string]int64{},
+	}
+	for status := range c.answers {
+		if n := c.answers[status].Load(); n > 0 {
+			list.Answers[strconv.Itoa(status)] = n
+		}
+	}
+	return list
+}
--- a/internal/protocol/discovery.go
+++ b/internal/protocol/discovery.go
@@ -16,6 +16,7 @@
 	"github.com/tidwall/gjson"
 
 	"cleathold/control"
+	"cleathold/internal/permit"
 	"cleathold/internal/state"
 )
 
@@ -193,6 +194,9 @@
 	if now.retries > 0 {
 		d.Log.Info("discovery: the list is known again", "asks", now.retries, "version", news.Version)
 	}
+	if len(news.Targets) > 0 {
+		d.Log.Info("discovery told changes", "version", news.Version, "since", now.since, "targets", len(news.Targets), "asked", time.Since(asked).Round(time.Millisecond))
+	}
 	now.answered(news.Version)
 	rests := d.Rest > 0 && len(news.Targets) > 0
 	if rests && d.DrainGrace > 0 {
@@ -326,7 +330,7 @@
 	case w.missed:
 		return time.Millisecond
 	case !w.uncertain.IsZero():
-		by := w.uncertain.Add(state.HoldAfter(d.DrainGrace) - confirmMargin)
+		by := w.uncertain.Add(permit.HoldAfter(d.DrainGrace) - confirmMargin)
 		return min(d.wait, max(time.Millisecond, time.Until(by).Truncate(time.Millisecond)))
 	}
 	return d.wait
--- a/internal/protocol/late_test.go
+++ b/internal/protocol/late_test.go
@@ -193,7 +193,10 @@
 		call.Forwards[0].Message.Body = make([]byte, 8<<20) // more than any buffer on the way holds
 		s.Carry(call)
 		e := next[state.Ended](t, p).Ends[0]
-		e.Took, e.Forward = 0, nil
+		if e.Left.IsZero() {
+			t.Errorf("%s: nothing was written", c.name)
+		}
+		e.Took, e.Left, e.Forward = 0, time.Time{}, nil
 		if e != c.want {
 			t.Errorf("%s: %+v, want %+v", c.name, e, c.want)
 		}
--- a/internal/protocol/listener.go
+++ b/internal/protocol/listener.go
@@ -57,6 +57,7 @@
 
 	keep   int     // so many connections are kept after a request
 	claims Claimer // nil: keys have no owner besides the table
+	counts *Counters
 
 	mu     sync.Mutex
 	open   map[*client]struct{}
@@ -81,6 +82,9 @@
 // Ask names the claimer; before Serve.
 func (l *Listener) Ask(c Claimer) { l.claims = c }
 
+// Count has what it does added to counters from now on; before Serve.
+func (l *Listener) Count(c *Counters) { l.counts = c }
+
 // A client is one client's connection.
 type client struct {
 	*link
@@ -91,7 +95,10 @@
 	served  bool // it has had a request
 	since   time.Time
 
-	last bool // its own goroutine's: the request that it reads is the last
+	// Its own goroutine's.
+	last bool  // the request that it reads is the last
+	owed bool  // a request was read, or a part of one, and has no answer
+	err  error // why that is so, if it is
 }
 
 // Listen opens the listening socket, for so many connections at most. Of those
@@ -109,7 +116,7 @@
 func ListenOn(sock net.Listener, to Intake, n Names, classes []control.Class, most, keep int, log *slog.Logger) *Listener {
 	l := &Listener{
 		to: to, log: log, sock: sock,
-		places: make(chan struct{}, most), linger: make(chan struct{}, Lingering(most)), keep: keep, open: map[*client]struct{}{},
+		places: make(chan struct{}, most), linger: make(chan struct{}, Lingering(most)), keep: keep, open: map[*client]struct{}{}, counts: &Counters{},
 	}
 	l.Rename(n, classes)
 	l.wg.Add(1) // for Serve
@@ -142,12 +149,14 @@
 			return
 		}
 		if err != nil {
+			l.counts.acceptFailed.Add(1)
 			l.log.Warn("accept", "err", err)
 			time.Sleep(wait) // out of descriptors: not at full speed round and round
 			wait = min(2*wait, acceptPauseMost)
 			continue
 		}
 		wait = acceptPause
+		l.counts.accepted.Add(1)
 		select {
 		case l.places <- struct{}{}:
 		default:
@@ -185,6 +194,7 @@
 		first.gone = true
 		if first.quiet() {
 			first.evicted = true
+			l.counts.evicted.Add(1)
 			first.SetReadDeadline(time.Unix(1, 0))
 			return
 		}
@@ -301,10 +311,18 @@
 	defer l.wg.Done()
 	for l.begins(k) {
 		l.setIdle(k, false)
+		l.counts.requests.Add(1)
+		k.owed = true
 		if !l.serve(k) {
 			break
 		}
 	}
+	if k.owed {
+		l.counts.unanswered.Add(1)
+	}
+	if k.owed && !errors.Is(k.err, io.ErrUnexpectedEOF) { // it did not leave in the middle of its request
+		l.log.Info("a request ends without an answer", "client", k.RemoteAddr().String(), "err", k.err)
+	}
 	l.mu.Lock()
 	delete(l.open, k)
 	if k.served {
@@ -351,6 +369,7 @@
 		case errors.Is(err, os.ErrDeadlineExceeded):
 			f = &fault{http.StatusRequestTimeout, "request not whole in time", true}
 		case gone(err):
+			k.err = err
 			return false
 		default:
 			f = &fault{http.StatusBadRequest, "malformed request", true}
@@ -475,5 +494,11 @@
 	b.WriteString("Content-Length: " + strconv.Itoa(len(text)) + "\r\n\r\n" + text)
 	k.SetWriteDeadline(time.Now().Add(answerSpan))
 	_, err := k.Write(b.Bytes())
-	return err
+	if err != nil {
+		k.err = err
+		return err
+	}
+	k.owed = false
+	l.counts.answers[status].Add(1)
+	return nil
 }
--- a/internal/protocol/relay.go
+++ b/internal/protocol/relay.go
@@ -28,7 +28,7 @@
 			continue
 		}
 		if e, ok := of(w); ok {
-			e.Forward, e.Took = w, time.Since(f.began)
+			e.Forward, e.Took, e.Left = w, time.Since(f.began), f.left
 			f.ended[i] = true
 			ends = append(ends, e)
 		}
--- a/internal/protocol/send.go
+++ b/internal/protocol/send.go
@@ -147,6 +147,7 @@
 	ctx    context.Context
 	cancel context.CancelFunc
 	began  time.Time
+	left   time.Time // when its first byte was written; zero: not yet
 	stage  atomic.Int32
 
 	forwards []*state.Forward // of the call, those that go out with it...
@@ -259,6 +260,7 @@
 	if f.ctx.Err() != nil { // it ended while the deadline was moved
 		return false
 	}
+	f.left = time.Now()
 	n, err := l.Write(append(head, body...))
 	return err == nil || n == len(head)+len(body)
 }
--- a/internal/protocol/socket_test.go
+++ b/internal/protocol/socket_test.go
@@ -112,7 +112,10 @@
 			s.Abandon(call)
 		}
 		e := next[state.Ended](t, p).Ends[0]
-		e.Took, e.Forward = 0, nil
+		if e.Left.IsZero() != (c.want.Result == control.NoConnection) {
+			t.Errorf("%s: left at %v", c.name, e.Left)
+		}
+		e.Took, e.Left, e.Forward = 0, time.Time{}, nil
 		if e != c.want {
 			t.Errorf("%s: %+v, want %+v", c.name, e, c.want)
 		}
@@ -574,6 +577,14 @@
 		n++
 		return fmt.Sprintf("POST /status HTTP/1.1\r\nHost: x\r\nX-Request-Id: m%d\r\nX-Deadline: 5\r\nX-Addressing: dest=1\r\nContent-Length: 0\r\n\r\n", n)
 	}
+	half, _ := open()
+	io.WriteString(half, "POST /status HTTP/1.1\r\nHost: x\r\n")
+	half.Close()
+	for until := time.Now().Add(10 * time.Second); l.counts.unanswered.Load() == 0; time.Sleep(time.Millisecond) {
+		if time.Now().After(until) {
+			t.Fatal("a request that broke off is not counted")
+		}
+	}
 	held, heldIn := open()
 	if r := ask(held, heldIn, message()); r.StatusCode != http.StatusAccepted || r.Close {
 		t.Fatalf("before: %d, close %v", r.StatusCode, r.Close)
@@ -604,6 +615,9 @@
 			t.Errorf("%s: Retry-After %q", c.name, again)
 		}
 	}
+	if n := l.counts.Counts(); n.Requests != 6 || n.Unanswered != 1 || n.Answers["202"] != 2 || n.Answers["503"] != 3 {
+		t.Errorf("counted %+v", n)
+	}
 	l.Activate()
 	conn, in := open()
 	for _, request := range []string{health, message(), health} {
--- a/internal/state/book.go
+++ b/internal/state/book.go
@@ -13,7 +13,9 @@
 func (l *Loop) book(ev Ended) {
 	for _, end := range ev.Ends {
 		f := end.Forward
+		l.judge(ev.Call, end)
 		if end.Wait > 0 {
+			l.remember(ev.Call.Target, end.Wait)
 			l.waited(ev.Call.Target)
 		}
 		if f.ended {
--- a/internal/state/certainty.go
+++ b/internal/state/certainty.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"cleathold/control"
+	"cleathold/internal/permit"
 )
 
 // What discovery has begun to write counts as told, whether or not it could be read (PROTOCOL, 'The rules on sockets').
@@ -11,13 +12,8 @@
 // it may drain. So it is from an answer after which no question follows at once, as a watch goes on for 200 ms after it.
 // Before the grace of drains is over, counted from then, nothing new goes to any target.
 
-const (
-	// holdMargin is left between the last send and the end of the grace of drains: the process may be held up, and a call
-	// that leaves takes its time.
-	holdMargin = 250 * time.Millisecond
-	// uncertainSpan is UncertainSpan where the settings tell no period for asking.
-	uncertainSpan = 10 * time.Second
-)
+// uncertainSpan is UncertainSpan where the settings tell no period for asking.
+const uncertainSpan = 10 * time.Second
 
 // UncertainSpan is how long sends are held back after discovery last began an answer that could not be read. If nothing
 // was heard of it for so long, as in an outage, the list that is known counts again.
@@ -28,9 +24,6 @@
 	return mustAsk
 }
 
-// HoldAfter is how long after the list became uncertain nothing new is sent any more.
-func HoldAfter(grace time.Duration) time.Duration { return grace - min(holdMargin, grace/2) }
-
 // Unread tells that an answer of discovery began at a time and could not be read, or not to its end. Leaving are the
 // targets that the part which came names as draining or gone.
 type Unread struct {
@@ -57,7 +50,7 @@
 	if c.first.IsZero() {
 		return false, time.Time{}
 	}
-	from, to := c.first.Add(HoldAfter(grace)), c.last.Add(span)
+	from, to := c.first.Add(permit.HoldAfter(grace)), c.last.Add(span)
 	switch {
 	case now.Before(from):
 		return false, from
--- a/internal/state/count.go
+++ b/internal/state/count.go
@@ -3,6 +3,8 @@
 import (
 	"sync/atomic"
 	"time"
+
+	"cleathold/internal/permit"
 )
 
 // Counters count what loops of one process do, one after another. The loop adds, anyone may read.
@@ -10,6 +12,8 @@
 	taken, refused, delivered, deferred, undeliverable, called, late, firstCall, open atomic.Int64
 
 	unread, holds atomic.Int64
+
+	withheld, broken [permit.Refusals]atomic.Int64 // sends, by what was against them
 }
 
 // Counts are what counters show, since the start of the process but for Open.
@@ -25,6 +29,9 @@
 	Open          int           `json:"open"`          // messages that are owed their end now
 	Unread        int64         `json:"unread"`        // answers of discovery that began and could not be read
 	Holds         int64         `json:"holds"`         // times that sends were held back because of it
+
+	Withheld map[string]int64 `json:"withheld,omitempty"` // sends that were decided on and did not leave, by reason
+	Broken   map[string]int64 `json:"broken,omitempty"`   // calls that left against a rule, by rule: 0 in a sound program
 }
 
 // Counts reads them. They are not of one instant.
@@ -32,7 +39,7 @@
 	return Counts{
 		Taken: c.taken.Load(), Refused: c.refused.Load(), Delivered: c.delivered.Load(), Deferred: c.deferred.Load(),
 		Undeliverable: c.undeliverable.Load(), Called: c.called.Load(), Late: c.late.Load(), FirstCall: time.Duration(c.firstCall.Load()), Open: int(c.open.Load()),
-		Unread: c.unread.Load(), Holds: c.holds.Load(),
+		Unread: c.unread.Load(), Holds: c.holds.Load(), Withheld: tally(&c.withheld), Broken: tally(&c.broken),
 	}
 }
 
--- /dev/null
+++ b/internal/state/gate.go
@@ -0,0 +1,100 @@
+package state
+
+import (
+	"sync/atomic"
+	"time"
+
+	"cleathold/control"
+	"cleathold/internal/permit"
+)
+
+// The gate is where a send that the controller decided on is looked at for the last time, as its call is about to leave
+// (package permit). What comes back of a call tells when its first byte was written, which is judged by the same rules: a
+// break of them is counted and logged, and never goes unseen.
+
+// A routeKey names what a told wait binds: a destination, or one target where its kind has routes apart.
+type routeKey struct {
+	destination int
+	target      string
+}
+
+// A toldWait is a wait that a target has told.
+type toldWait struct{ from, until time.Time }
+
+// waitsMost are remembered; beyond that those that are over are forgotten first.
+const waitsMost = 1024
+
+// routeOf is what a wait told by a target binds.
+func (l *Loop) routeOf(t Target) routeKey {
+	if l.apart(t.Kind) {
+		return routeKey{t.Destination, t.ID}
+	}
+	return routeKey{destination: t.Destination}
+}
+
+// remember notes a wait that a target has told.
+func (l *Loop) remember(t Target, wait time.Duration) {
+	if len(l.waits) >= waitsMost {
+		for key, w := range l.waits {
+			if !l.now.Before(w.until) {
+				delete(l.waits, key)
+			}
+		}
+	}
+	key := l.routeOf(t)
+	if until := l.now.Add(wait); until.After(l.waits[key].until) && len(l.waits) < 2*waitsMost {
+		l.waits[key] = toldWait{l.now, until}
+	}
+}
+
+// rules are those in force for all sends.
+func (l *Loop) rules() permit.Rules {
+	return permit.Rules{Grace: l.set.DrainGrace, OneCopy: !l.set.SecondCopies, Stopping: l.halted}
+}
+
+// facts are what is known of a target for a send to it.
+func (l *Loop) facts(t Target) permit.Route {
+	w := l.waits[l.routeOf(t)]
+	return permit.Route{Left: l.group.toldLeft[t.Endpoint.ID], Uncertain: l.certain.first, WaitFrom: w.from, WaitUntil: w.until}
+}
+
+// permits tells whether a forward of a call may leave now. What may not is counted and ends as one that was called off.
+func (l *Loop) permits(c *Call, f *Forward, e *entry) bool {
+	m := permit.Message{Deadline: f.Message.Deadline, MayHaveRun: len(e.ran) > 0, RememberTil: f.Leave, CopyOut: e.flights > 1}
+	if e.Class >= 0 && e.Class < len(l.set.Classes) {
+		m.Effect = l.set.Classes[e.Class].Effect
+	}
+	if m.Effect != control.Keyed {
+		m.RememberTil = f.Message.Deadline
+	}
+	refusal := l.rules().Send(l.now, m, l.facts(c.Target))
+	if refusal == permit.None {
+		return true
+	}
+	l.counters.withheld[refusal].Add(1)
+	l.log.Warn("a send is withheld", "why", refusal, "message", e.ID, "class", e.Class, "attempt", f.attempt, "target", c.Target.ID)
+	return false
+}
+
+// judge looks at when a call left, once what came of it is known.
+func (l *Loop) judge(c *Call, end End) {
+	if end.Left.IsZero() {
+		return
+	}
+	if broken := l.rules().Left(end.Left, l.facts(c.Target)); broken != permit.None {
+		l.counters.broken[broken].Add(1)
+		l.log.Error("a call left that should not have", "why", broken, "message", end.Forward.Message.ID,
+			"attempt", end.Forward.attempt, "target", c.Target.ID, "left", l.now.Sub(end.Left))
+	}
+}
+
+// tally are the counts of refusals that are not zero, by name.
+func tally(counts *[permit.Refusals]atomic.Int64) map[string]int64 {
+	list := map[string]int64{}
+	for _, r := range permit.All() {
+		if n := counts[r].Load(); n > 0 {
+			list[r.String()] = n
+		}
+	}
+	return list
+}
--- /dev/null
+++ b/internal/state/gate_test.go
@@ -0,0 +1,67 @@
+package state
+
+import (
+	"testing"
+	"time"
+
+	"cleathold/control"
+	"cleathold/internal/permit"
+)
+
+// What the controller must not have decided on does not leave, whatever the reason: it is counted, and the message goes on.
+func TestGate(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		class int
+		known func(l *Loop, to control.EndpointID) // what is known as the second send is decided on
+		want  permit.Refusal
+	}{
+		{"a second call of an unsafe message", 2, func(*Loop, control.EndpointID) {}, permit.Repeat},
+		{"a copy where one is allowed", 0, func(l *Loop, _ control.EndpointID) { l.set.SecondCopies = false }, permit.SecondCopy},
+		{"a target that left", 0, func(l *Loop, to control.EndpointID) { l.group.toldLeft[to] = l.now.Add(-2 * time.Second) }, permit.TargetLeft},
+		{"an uncertain list", 0, func(l *Loop, _ control.EndpointID) { l.certain.doubt(l.now.Add(-2 * time.Second)) }, permit.Uncertain},
+		{"a wait", 0, func(l *Loop, to control.EndpointID) {
+			l.remember(*l.group.byNum[to], time.Second)
+			l.now = l.now.Add(time.Millisecond) // sends decided on as it is told are excused
+		}, permit.Waiting},
+		{"a process that ends", 0, func(l *Loop, _ control.EndpointID) { l.halted = true }, permit.Stopping},
+	} {
+		l, o := loop(t, t.TempDir(), 1e6)
+		l.set.DrainGrace = 2 * time.Second
+		start(t, l)
+		verdict := make(chan Verdict, 1)
+		l.Post(Handed{Message: &Message{ID: "a", Class: c.class, Destination: 7, Deadline: time.Now().Add(time.Minute)}, Verdict: verdict})
+		get(t, verdict)
+		l.Post(Answered{"a", true})
+		get(t, o.calls)
+		done := make(chan bool)
+		l.Post(inspect(func() {
+			to := l.group.byID["s"].Endpoint.ID
+			c.known(l, to)
+			(*actions)(l).Send(l.table.ids["a"].num, to, time.Second)
+			done <- true
+		}))
+		<-done
+		l.Idle() // the round has ended
+		if n := l.counters.withheld[c.want].Load(); n != 1 || len(o.calls) > 0 {
+			t.Errorf("%s: %d withheld for %v, %d calls; counts %+v", c.name, n, c.want, len(o.calls), l.counters.Counts())
+		}
+	}
+}
+
+// A call whose first byte was written against a rule is counted, once it is known; one in time is not.
+func TestCallsAreJudged(t *testing.T) {
+	l, o := loop(t, t.TempDir(), 1e6)
+	l.set.DrainGrace = time.Second
+	start(t, l)
+	call := o.callOf(t, l, "a")
+	now := time.Now()
+	l.Post(inspect(func() { l.group.toldLeft[call.Target.Endpoint.ID] = now }))
+	for i, left := range []time.Duration{900 * time.Millisecond, 1100 * time.Millisecond} {
+		l.Post(Ended{call, []End{{Forward: call.Forwards[0], Result: control.Served, Finished: true, Left: now.Add(left)}}})
+		l.Idle()
+		if n := l.counters.Counts().Broken[permit.TargetLeft.String()]; n != int64(i) {
+			t.Errorf("left after %v: %d counted", left, n)
+		}
+	}
+}
--- a/internal/state/loop.go
+++ b/internal/state/loop.go
@@ -78,6 +78,7 @@
 	abroad  map[abroad]int // forwards out at another process, and in which of its calls
 
 	departures *departures
+	waits      map[routeKey]toldWait
 	certain    certainty // whether the list of targets is the one that was told last
 
 	begun    bool
@@ -116,7 +117,7 @@
 	l := &Loop{
 		set: s.Settings, log: s.Log, keeper: s.Keeper, events: make(chan any, 2*roundMost),
 		clock: s.Clock, start: s.Clock(), table: t, group: newGroup(), journal: j, counters: s.Counters,
-		round: map[control.EndpointID]*Call{}, out: map[*Call]int{}, finished: make(chan struct{}),
+		waits: map[routeKey]toldWait{}, round: map[control.EndpointID]*Call{}, out: map[*Call]int{}, finished: make(chan struct{}),
 	}
 	if l.ctl, err = control.New(s.Settings, (*actions)(l)); err != nil {
 		return nil, err
--- a/internal/state/route.go
+++ b/internal/state/route.go
@@ -89,6 +89,9 @@
 func (l *Loop) recordCall(c *Call) {
 	for _, f := range c.Forwards {
 		if e := l.table.entries[f.num]; e != nil && !f.ended {
+			if f.withheld = !l.permits(c, f, e); f.withheld {
+				continue
+			}
 			s := sent{attempt: f.attempt, at: l.now, zone: c.Target.Zone}
 			if l.keeper != nil {
 				s.target = c.Target.ID
@@ -106,7 +109,7 @@
 	c.launched = true
 	live := make([]*Forward, 0, len(c.Forwards))
 	for _, f := range c.Forwards {
-		if e := l.table.entries[f.num]; e != nil && !f.off && !c.withheld {
+		if e := l.table.entries[f.num]; e != nil && !f.off && !f.withheld && !c.withheld {
 			live = append(live, f)
 			continue
 		}
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -65,6 +65,7 @@
 	attempt  int
 	ended    bool
 	off      bool // called off
+	withheld bool // may not leave
 }
 
 // A Call is what travels on one connection: one forward, or several that go
@@ -86,6 +87,7 @@
 	Forward  *Forward
 	Result   control.Result
 	Took     time.Duration
+	Left     time.Time     // when the first byte of its call was written; zero: none was, or it is not known
 	Wait     time.Duration // told to send nothing there for so long
 	Finished bool          // nothing more is owed
 	NoSlot   bool
--- a/internal/state/table.go
+++ b/internal/state/table.go
@@ -180,6 +180,8 @@
 	left    map[string]time.Time // targets off the list, and since when
 	aside   map[string]bool      // ids of targets that operators have taken out
 	held    bool                 // nothing new goes to any target
+
+	toldLeft map[control.EndpointID]time.Time // when those were told that drain or are gone
 }
 
 // shown is a target as the controller is to see it: one that is taken out drains, and all do while sends are held back.
@@ -258,7 +260,7 @@
 const goneSpan = 2 * time.Minute
 
 func newGroup() *group {
-	return &group{byID: map[string]*Target{}, byNum: map[control.EndpointID]*Target{}, names: map[uint32]control.EndpointID{}, served: map[int]bool{}, left: map[string]time.Time{}, next: 1, version: NoVersion}
+	return &group{byID: map[string]*Target{}, byNum: map[control.EndpointID]*Target{}, names: map[uint32]control.EndpointID{}, served: map[int]bool{}, left: map[string]time.Time{}, toldLeft: map[control.EndpointID]time.Time{}, next: 1, version: NoVersion}
 }
 
 // serves tells whether a destination has or had a target; as long as none is
@@ -303,6 +305,7 @@
 		}
 		t.Endpoint.ID, t.Destination = known.Endpoint.ID, known.Destination
 		known.Endpoint = t.Endpoint
+		g.noteState(known, now)
 		lines = append(lines, g.shown(known))
 	}
 	return lines
@@ -313,6 +316,19 @@
 	if _, before := g.left[id]; !before {
 		g.left[id] = now
 	}
+	if t := g.byID[id]; t != nil {
+		g.noteState(t, now)
+	}
+}
+
+// noteState notes since when a target is not ready.
+func (g *group) noteState(t *Target, now time.Time) {
+	num := t.Endpoint.ID
+	if g.ready(t.ID) {
+		delete(g.toldLeft, num)
+	} else if _, before := g.toldLeft[num]; !before {
+		g.toldLeft[num] = now
+	}
 }
 
 // prune forgets the targets that left long ago.
@@ -324,6 +340,7 @@
 		delete(g.left, id)
 		num := g.byID[id].Endpoint.ID
 		delete(g.byNum, num)
+		delete(g.toldLeft, num)
 		if name := note.Name(id); g.names[name] == num {
 			delete(g.names, name)
 		}
