--- a/cmd/cleathold/lab.go
+++ b/cmd/cleathold/lab.go
@@ -38,6 +38,7 @@
 	Serve   labServeCmd   `cmd:"" help:"Put a scenario's partners, discovery and notices behind loopback addresses."`
 	Load    labLoadCmd    `cmd:"" help:"Hand a scenario's messages in to senders that run."`
 	Fleet   labFleetCmd   `cmd:"" help:"Play drains and releases of a fleet of processes under drawn faults, or measure a release."`
+	Soak    labSoakCmd    `cmd:"" help:"Play cases of overlapping faults, drawn by seeds, with senders as processes."`
 	Report  labReportCmd  `cmd:"" help:"Make a page of a run, or of several."`
 	Limits  labLimitsCmd  `cmd:"" help:"Set what all senders of a run did together against the limits of destinations, by second."`
 	Outages labOutagesCmd `cmd:"" help:"Follow a run's outages of endpoints: what was served meanwhile, and how often senders ran into them."`
--- /dev/null
+++ b/cmd/cleathold/labsoak.go
@@ -0,0 +1,141 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"os"
+	"os/exec"
+	"os/signal"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+
+	"cleathold/internal/soak"
+)
+
+type labSoakCmd struct {
+	Seeds   int           `help:"Cases, each with the next seed." default:"50"`
+	From    uint64        `help:"First seed." default:"1"`
+	Jobs    int           `help:"Cases at once." default:"1"`
+	Senders int           `help:"Senders of a case, at the least." default:"10"`
+	Length  time.Duration `help:"Traffic and faults go on for so long." default:"20s"`
+	Rate    float64       `help:"Messages a second for each sender." default:"6"`
+	Calls   bool          `help:"Have system calls of some senders fail; needs strace."`
+	Out     string        `help:"Folder for what the processes of unsound cases wrote." default:"."`
+	Program string        `help:"The senders' program; without it this one." type:"existingfile"`
+	Show    bool          `help:"Write what is drawn and play nothing."`
+}
+
+func (c *labSoakCmd) Run(out io.Writer) error {
+	if c.Seeds < 1 || c.Jobs < 1 || c.Senders < 2 || c.Length < 5*time.Second || !(c.Rate > 0) {
+		return errors.New("seeds and jobs from 1 up, senders from 2, a length of 5 s at least, a rate above 0")
+	}
+	options := soak.Options{Senders: c.Senders, Length: c.Length, Rate: c.Rate}
+	var err error
+	if c.Calls {
+		if options.Strace, err = exec.LookPath("strace"); err != nil {
+			return err
+		}
+	}
+	if c.Program == "" {
+		if c.Program, err = os.Executable(); err != nil {
+			return err
+		}
+	}
+	if c.Program, err = filepath.Abs(c.Program); err != nil {
+		return err
+	}
+	if c.Show {
+		for i := range c.Seeds {
+			writeCase(out, soak.Draw(c.From+uint64(i), options))
+		}
+		return nil
+	}
+	return c.playAll(out, options)
+}
+
+// playAll plays the cases, some at once.
+func (c *labSoakCmd) playAll(out io.Writer, options soak.Options) error {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	seeds := make(chan uint64)
+	go func() {
+		defer close(seeds)
+		for i := range c.Seeds {
+			select {
+			case seeds <- c.From + uint64(i):
+			case <-ctx.Done():
+				return
+			}
+		}
+	}()
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	unsound, played := 0, 0
+	for range c.Jobs {
+		wg.Go(func() {
+			for seed := range seeds {
+				drawn := soak.Draw(seed, options)
+				report, folder, err := c.play(ctx, drawn)
+				mu.Lock()
+				played++
+				if !writeReport(out, drawn, report, folder, err) {
+					unsound++
+				}
+				mu.Unlock()
+			}
+		})
+	}
+	wg.Wait()
+	fmt.Fprintf(out, "%d cases played, %d unsound\n", played, unsound)
+	if ctx.Err() != nil {
+		return exit{errors.New("broken off"), exitOff}
+	}
+	return brokenExit(unsound)
+}
+
+// play plays one case in a folder that is kept only where the case is unsound.
+func (c *labSoakCmd) play(ctx context.Context, drawn *soak.Case) (*soak.Report, string, error) {
+	folder, err := filepath.Abs(filepath.Join(c.Out, fmt.Sprintf("soak-%d", drawn.Seed)))
+	if err != nil {
+		return nil, "", err
+	}
+	if err := os.MkdirAll(folder, 0o700); err != nil {
+		return nil, "", err
+	}
+	report, err := soak.Play(ctx, drawn, c.Program, folder, slog.New(slog.DiscardHandler))
+	if err == nil && len(report.Findings) == 0 {
+		err = os.RemoveAll(folder)
+	}
+	return report, folder, err
+}
+
+// writeReport tells how a case went, and whether it was sound.
+func writeReport(out io.Writer, drawn *soak.Case, r *soak.Report, folder string, err error) bool {
+	if err != nil {
+		fmt.Fprintf(out, "seed %d: not played: %v (%s)\n", drawn.Seed, err, folder)
+		return false
+	}
+	fmt.Fprintf(out, "seed %d: %d senders, %d messages, service %.2f, %d calls, %d restarts, lag %.1f ms, %d findings\n",
+		drawn.Seed, drawn.Senders, r.Result.Messages, r.Result.Service, r.Result.Calls, r.Result.Restarts, r.Result.Rig.P99, len(r.Findings))
+	if len(r.Findings) == 0 {
+		return true
+	}
+	for _, finding := range r.Findings[:min(len(r.Findings), 20)] {
+		fmt.Fprintln(out, " ", finding)
+	}
+	writeCase(out, drawn)
+	fmt.Fprintf(out, "  logs: %s\n", folder)
+	return false
+}
+
+func writeCase(out io.Writer, drawn *soak.Case) {
+	fmt.Fprintf(out, "seed %d\n%s", drawn.Seed, drawn.Script)
+	for _, note := range drawn.Notes {
+		fmt.Fprintln(out, "#", note)
+	}
+}
--- a/internal/lab/sim.go
+++ b/internal/lab/sim.go
@@ -142,7 +142,7 @@
 			return nil, fmt.Errorf("lab: %w", err)
 		}
 		for _, d := range p.Deeds {
-			if d.What != "kill" && d.What != "wipe" && d.What != "term" {
+			if d.What != "kill" && d.What != "wipe" && d.What != "term" && d.What != "signals" {
 				continue
 			}
 			s.dirs[d.Sender] = filepath.Join(s.tmp, fmt.Sprint("n", d.Sender))
@@ -383,7 +383,7 @@
 				s.fail(err)
 			}
 		}
-	case "term":
+	case "term", "signals":
 		x.when(func() {
 			if !x.dead && !x.leaving {
 				s.note(audit.Event{What: audit.Died, Sender: x.num})
--- a/internal/rig/clients.go
+++ b/internal/rig/clients.go
@@ -33,6 +33,7 @@
 	senders []*front
 
 	enough atomic.Bool // Run ends before the plan's last arrival
+	keep   bool        // connections to a sender that is ending are used on
 
 	mu      sync.Mutex
 	rng     *rand.Rand
@@ -43,6 +44,8 @@
 	lag     *hdrhistogram.Histogram
 	door    *hdrhistogram.Histogram // from the time wanted to the sender's answer
 	answers map[int]int             // by status; 0 = none
+
+	unanswered int // see Seen
 }
 
 // A front is a sender as clients see it.
@@ -53,6 +56,7 @@
 	shut bool      // nothing is kept any more
 	away bool      // it said that it wants no clients
 	down time.Time // since when nobody is there; zero = somebody is
+	up   time.Time // since when somebody is there again
 }
 
 type client struct {
@@ -86,7 +90,7 @@
 		}
 		return
 	}
-	f.down = time.Time{}
+	f.down, f.up = time.Time{}, time.Now()
 }
 
 // SetAway tells the front layer what a sender said of its health. It heeds that at once.
@@ -160,7 +164,7 @@
 		n := (first + i) % len(c.senders)
 		f := c.senders[n]
 		f.mu.Lock()
-		known := f.away || !f.down.IsZero() && time.Since(f.down) > lab.FrontSpan
+		known := f.away || !f.down.IsZero() && time.Since(f.down) > lab.FrontSpan && !(c.keep && len(f.idle) > 0)
 		f.mu.Unlock()
 		if !known {
 			return n, f
@@ -198,10 +202,14 @@
 	text := request(s, m, id, key, left, again)
 	r, err := conn.ask(text, limit)
 	if err != nil && reused && errors.Is(err, io.EOF) { // its close crossed the request
+		reused = false
 		if conn, err = f.dial(limit); err == nil {
 			r, err = conn.ask(text, limit)
 		}
 	}
+	if !reused && errors.Is(err, io.EOF) && !c.crowded() {
+		c.w.wg.Go(func() { c.judgeUnanswered(f) })
+	}
 	status := 0
 	if err == nil {
 		status = r.StatusCode
@@ -244,6 +252,35 @@
 	f.put(conn)
 }
 
+// crowded tells whether a crowd is about, or was a moment ago: new connections may be shut unread then.
+func (c *Clients) crowded() bool {
+	now := c.w.nowOf()
+	for _, crowd := range c.w.faults.Crowds {
+		if now >= crowd.From && now < crowd.To+time.Second {
+			return true
+		}
+	}
+	return false
+}
+
+// downSpan is how much later than its clients the rig may hear that a process has ended.
+const downSpan = 100 * time.Millisecond
+
+// judgeUnanswered counts a request without an answer, unless its sender's process was down or ending.
+func (c *Clients) judgeUnanswered(f *front) {
+	if !c.w.sleep(downSpan) {
+		return
+	}
+	f.mu.Lock()
+	down := !f.down.IsZero() || time.Since(f.up) < 2*downSpan
+	f.mu.Unlock()
+	if !down {
+		c.mu.Lock()
+		c.unanswered++
+		c.mu.Unlock()
+	}
+}
+
 // request is a hand-in as PROTOCOL has it.
 func request(s *scenario.Scenario, m *lab.Wanted, id, key string, left time.Duration, again bool) []byte {
 	text := fmt.Appendf(nil, "POST /%s HTTP/1.1\r\nHost: app.svc\r\nX-Request-Id: %s\r\nX-Tenant: %s\r\nX-Deadline: %.6f\r\nX-Addressing: dest=%d\r\nContent-Length: %d\r\n",
@@ -313,13 +350,17 @@
 	Door    Lag         `json:"door"` // from the time wanted to the sender's answer
 	Answers map[int]int `json:"answers"`
 	LeftOut int         `json:"left_out"`
+
+	// Unanswered are requests that were written whole on a new connection to a sender that was there, and whose
+	// connection then ended with no answer, while no crowd was about.
+	Unanswered int `json:"unanswered"`
 }
 
 // Seen tells what the clients saw so far.
 func (c *Clients) Seen() Seen {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	s := Seen{Lag: lagOf(c.lag), Door: lagOf(c.door), Answers: map[int]int{}, LeftOut: c.left}
+	s := Seen{Lag: lagOf(c.lag), Door: lagOf(c.door), Answers: map[int]int{}, LeftOut: c.left, Unanswered: c.unanswered}
 	for status, n := range c.answers {
 		s.Answers[status] = n
 	}
--- a/internal/rig/platform.go
+++ b/internal/rig/platform.go
@@ -63,6 +63,7 @@
 		since, wait = v, min(time.Duration(ms)*time.Millisecond, watchMost)
 	}
 	until := time.Now().Add(wait)
+	delayed := false
 	for {
 		w.mu.Lock()
 		now := w.now()
@@ -90,9 +91,31 @@
 			lines, version = w.ground.Whole(now, sender)
 		}
 		if whole || len(lines) > 0 || !time.Now().Before(until) {
+			fault, cut := w.answerFault(), w.chance.Float64()
+			if fault == Delays && !delayed {
+				delayed = true
+				late := time.Duration(cut * float64(delayMost))
+				w.mu.Unlock()
+				if !w.sleep(late) {
+					return
+				}
+				continue
+			}
+			if fault == Silent {
+				w.mu.Unlock()
+				<-r.Context().Done() // the sender gives it up, or the world ends
+				return
+			}
 			text := w.list(sender, lines, version, whole)
 			w.ground.Asked(now, sender, false, false)
 			w.mu.Unlock()
+			if fault != "" && fault != Delays {
+				w.spoil(out, fault, text, cut)
+				return
+			}
+			if watch {
+				w.tail(sender, version)
+			}
 			out.Header().Set("Content-Type", "application/json")
 			out.Write(text)
 			return
--- a/internal/rig/process.go
+++ b/internal/rig/process.go
@@ -23,12 +23,14 @@
 )
 
 const (
-	readySpan   = 30 * time.Second
-	restartSpan = 600 * time.Millisecond
-	killSpan    = 3700 * time.Millisecond // from SIGTERM to SIGKILL
-	usualMB     = 192                     // memory of a sender
-	orderSpan   = 3 * time.Second
-	logTail     = 600 // bytes of its log that go with an error
+	readySpan    = 30 * time.Second
+	restartSpan  = 600 * time.Millisecond
+	killSpan     = 3700 * time.Millisecond // from SIGTERM to SIGKILL
+	usualMB      = 192                     // memory of a sender
+	usualSockets = 1024
+	seriesGap    = 40 * time.Millisecond // between the signals of a series
+	orderSpan    = 3 * time.Second
+	logTail      = 600 // bytes of its log that go with an error
 )
 
 // A Process is one sender: its place, and whoever runs there now.
@@ -41,6 +43,7 @@
 	settings string // a script of our own; may be empty
 	plan     *scenario.Plan
 	place    Place
+	wrap     func(sender int, program string) []string // nil: none
 
 	mu    sync.Mutex
 	cmd   *exec.Cmd
@@ -53,6 +56,9 @@
 	if at.MemoryMB = s.MemoryMB; at.MemoryMB <= 0 {
 		at.MemoryMB = usualMB
 	}
+	if at.Sockets = s.Faults.Sockets; at.Sockets <= 0 {
+		at.Sockets = usualSockets
+	}
 	at.State = filepath.Join(dir, "state")
 	if err := os.MkdirAll(at.State, 0o700); err != nil {
 		return nil, fmt.Errorf("rig: %w", err)
@@ -62,7 +68,7 @@
 		return nil, err
 	}
 	at.Listen = addr
-	x := &Process{num: num, program: s.Program, dir: dir, addr: addr, hold: hold, settings: s.Settings, plan: s.Plan, place: at}
+	x := &Process{num: num, program: s.Program, dir: dir, addr: addr, hold: hold, settings: s.Settings, plan: s.Plan, place: at, wrap: s.Faults.Wrap}
 	if err := Configure(x.config(), s.Plan, num, at); err != nil {
 		x.Release()
 		return nil, err
@@ -74,6 +80,7 @@
 type Place struct {
 	Listen, Discovery, State string
 	MemoryMB                 float64
+	Sockets                  int // descriptors; 0 = 1,024
 	PeerListen, PeersAll     string
 	Peers                    []string
 	Admin                    string // its second address; empty: it has none
@@ -81,9 +88,12 @@
 
 // Configure writes the configuration of a plan's sender.
 func Configure(path string, p *scenario.Plan, num int, at Place) error {
+	if at.Sockets <= 0 {
+		at.Sockets = usualSockets
+	}
 	config := map[string]any{
 		"name": fmt.Sprint("n", num), "listen": at.Listen, "discovery": at.Discovery, "state": at.State,
-		"limits":   map[string]any{"cores": 1, "memory_mb": at.MemoryMB, "sockets": 1024, "disk_mb": 3},
+		"limits":   map[string]any{"cores": 1, "memory_mb": at.MemoryMB, "sockets": at.Sockets, "disk_mb": 3},
 		"known":    map[string]any{"version": 0, "full": true, "servers": []any{}},
 		"settings": lab.Profile(p, num),
 	}
@@ -192,7 +202,11 @@
 	if err != nil {
 		return fmt.Errorf("rig: %w", err)
 	}
-	c := exec.Command(x.program, "serve")
+	command := []string{x.program}
+	if x.wrap != nil {
+		command = x.wrap(x.num, x.program)
+	}
+	c := exec.Command(command[0], append(command[1:], "serve")...)
 	c.Env = append(os.Environ(), "LB_CONFIG="+x.config(), "CLEATHOLD_SETTINGS="+x.settings, "LB_LISTEN=", "LB_STATE=", "LB_DISCOVERY=", "LB_NAME=")
 	c.Stdout, c.Stderr = log, log
 	// Ctrl-C at the terminal is for the rig, which ends its senders itself.
@@ -315,6 +329,15 @@
 	return 0
 }
 
+// StopBySeries ends the one that runs by signals that come one behind the other, as from several hands.
+func (x *Process) StopBySeries() {
+	for _, s := range []os.Signal{syscall.SIGHUP, syscall.SIGTERM, syscall.SIGHUP, syscall.SIGTERM, syscall.SIGINT} {
+		x.Signal(s)
+		time.Sleep(seriesGap)
+	}
+	x.Stop(true)
+}
+
 // Stop ends the one that runs: in order, or at once.
 func (x *Process) Stop(orderly bool) {
 	ended := x.Ended()
--- a/internal/rig/run.go
+++ b/internal/rig/run.go
@@ -34,6 +34,7 @@
 	Sink     func(audit.Event) error
 	MemoryMB float64       // each sender's limit; 0 = 192
 	ReadyIn  time.Duration // a sender must be ready so long after its start; 0 = 30 s
+	Faults   Faults
 }
 
 // Result is what a run on sockets showed.
@@ -51,6 +52,7 @@
 	Setup
 	world     *World
 	clients   *Clients
+	addresses []string // of the senders, as clients reach them
 	processes []*Process
 	net       *fault.Net
 	blocks    []*fault.Block
@@ -70,6 +72,7 @@
 	if err != nil {
 		return Result{}, err
 	}
+	w.faults = s.Faults
 	g := &stage{Setup: s, world: w}
 	err = g.begin()
 	if err == nil {
@@ -151,6 +154,8 @@
 		}
 	}
 	g.clients = g.world.NewClients(addresses)
+	g.clients.keep = g.Faults.KeepConnections
+	g.addresses = addresses
 	return nil
 }
 
@@ -208,6 +213,7 @@
 func (g *stage) play() error {
 	w := g.world
 	w.Begin()
+	w.crowds(g.addresses)
 	for i := range g.processes {
 		g.keepers.Go(func() { g.keep(i) })
 	}
@@ -367,6 +373,10 @@
 		died("")
 		x.Stop(true)
 		return true
+	case "signals":
+		died("")
+		x.StopBySeries()
+		return true
 	case "stop":
 		died("")
 		x.Signal(syscall.SIGSTOP)
--- a/internal/rig/world.go
+++ b/internal/rig/world.go
@@ -8,6 +8,7 @@
 import (
 	"context"
 	"log/slog"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -55,6 +56,8 @@
 	cutOff  []bool             // senders that discovery does not reach, nor they it
 	net     *fault.Net         // what passes through links of it; nil: nothing does
 	lag     *hdrhistogram.Histogram
+	faults  Faults
+	chance  *rand.Rand                                          // draws which answers fail
 	heard   func(id string, deferred bool, again time.Duration) // of notices
 	served  func(ids []string)
 }
@@ -91,7 +94,7 @@
 	w := &World{
 		plan: p, log: log, tally: lab.NewTally(p.Scenario), sink: sink, answers: map[uint64]chan partner.Answer{}, handed: map[string]handed{},
 		bell: make(chan struct{}), turn: make(chan struct{}), cutOff: make([]bool, p.Scenario.Senders), wake: make(chan struct{}, 1), lag: newLag(),
-		heard: func(string, bool, time.Duration) {}, served: func([]string) {},
+		chance: rand.New(rand.NewPCG(p.Seed, 96)), heard: func(string, bool, time.Duration) {}, served: func([]string) {},
 	}
 	w.ctx, w.end = context.WithCancelCause(ctx)
 	set, err := lab.Settings(p, 0, 0)
--- a/internal/scenario/scenario.go
+++ b/internal/scenario/scenario.go
@@ -154,6 +154,7 @@
 	"kill":     "SIGKILL; it is started again",
 	"wipe":     "SIGKILL, and its folder is lost",
 	"term":     "SIGTERM; it is started again",
+	"signals":  "SIGHUP, SIGTERM and SIGINT one behind the other; it is started again",
 	"hup":      "SIGHUP with nothing new",
 	"stop":     "SIGSTOP, and SIGCONT after a while",
 	"drain":    "clients are sent away by its second address",
