--- a/internal/protocol/silence_test.go
+++ b/internal/protocol/silence_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -175,3 +176,30 @@
 		}
 	}
 }
+
+// A platform that could not be reached for a while is told soon after it can be: a notice is due 300 ms after the time of
+// its message, which may fall into that while.
+func TestNoticeSoonAfterThePlatformIsBack(t *testing.T) {
+	var back atomic.Pointer[time.Time]
+	told := make(chan time.Time, 8)
+	addr := socktest.Serve(t, func(_ int, r *http.Request, _ string) string {
+		if at := back.Load(); at == nil || time.Now().Before(*at) {
+			return ""
+		}
+		told <- time.Now()
+		return socktest.Status(204)
+	})
+	p := newPosts()
+	n := NewNotices(p, addr, quiet)
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan struct{})
+	go func() { defer close(ended); n.Run(ctx) }()
+	defer func() { cancel(); <-ended }()
+	at := time.Now().Add(1500 * time.Millisecond)
+	back.Store(&at)
+	n.Tell(state.Notice{Num: 1, ID: "a"})
+	next[state.Acknowledged](t, p)
+	if late := (<-told).Sub(at); late > 200*time.Millisecond {
+		t.Errorf("told %v after the platform could be reached", late)
+	}
+}
--- a/internal/soak/play.go
+++ b/internal/soak/play.go
@@ -3,12 +3,14 @@
 import (
 	"bufio"
 	"context"
+	"encoding/json"
 	"fmt"
 	"log/slog"
 	"os"
 	"path/filepath"
 	"strings"
 
+	"cleathold/internal/audit"
 	"cleathold/internal/rig"
 	"cleathold/internal/scenario"
 )
@@ -25,13 +27,25 @@
 // logLineMost bounds a line of a log that is read.
 const logLineMost = 1 << 20
 
-// Play plays a case with a program's processes. What they write stays in the folder.
+// eventsName is the file of a folder with what was seen, one event a line.
+const eventsName = "events.jsonl"
+
+// Play plays a case with a program's processes. What they write, and what was seen, stays in the folder.
 func Play(ctx context.Context, c *Case, program, folder string, log *slog.Logger) (*Report, error) {
 	s, err := scenario.Parse(fmt.Sprintf("soak-%d.star", c.Seed), []byte(c.Script), nil)
 	if err != nil {
 		return nil, err
 	}
-	result, err := rig.Run(ctx, rig.Setup{Plan: s.Plan(c.Seed), Program: program, Folder: folder, Log: log, Faults: c.Faults})
+	events, err := os.Create(filepath.Join(folder, eventsName))
+	if err != nil {
+		return nil, err
+	}
+	defer events.Close()
+	lines := bufio.NewWriter(events)
+	defer lines.Flush()
+	encoder := json.NewEncoder(lines)
+	sink := func(e audit.Event) error { return encoder.Encode(e) }
+	result, err := rig.Run(ctx, rig.Setup{Plan: s.Plan(c.Seed), Program: program, Folder: folder, Log: log, Faults: c.Faults, Sink: sink})
 	if err != nil {
 		return nil, err
 	}
