--- a/internal/audit/auditor_test.go
+++ b/internal/audit/auditor_test.go
@@ -64,6 +64,7 @@
 	refused := func(at time.Duration, n uint64, wait time.Duration) Event {
 		return Event{At: at, What: Ended, Call: n, Outcome: NeverRan, Wait: wait}
 	}
+	longer := func(e Event) Event { e.Left = 20 * time.Second; return e }
 	by := func(e Event, sender int) Event { e.Sender = sender; return e }
 	fall := func(saw []int, pushes map[int]int) []Event {
 		list := []Event{{At: 1 * ms, What: Trouble, Dest: 7}}
@@ -143,6 +144,8 @@
 		{"sent long after its client gave up", []Event{in(0, "m", 2, 7), {At: ms, What: Gone, Message: "m"}, sent(15*time.Second, 1, "a", 7, "m"), ended(16*time.Second, 1, Delivered)}, ""},
 		{"held up on its way beyond its end", []Event{in(0, "m", 2, 7), taken(ms, "m"), notice(5*time.Second, "m", false), first(sent(20*time.Second, 1, "a", 7, "m"), 4*time.Second), ended(21*time.Second, 1, Delivered)}, ""},
 		{"held up on its way, and sent after its end", []Event{in(0, "m", 2, 7), taken(ms, "m"), notice(5*time.Second, "m", false), first(sent(20*time.Second, 1, "a", 7, "m"), 6*time.Second), ended(21*time.Second, 1, Delivered)}, repeated},
+		{"a repeat that is held up beyond its window", []Event{longer(in(0, "m", 1, 7)), taken(ms, "m"), sent(2*ms, 1, "a", 7, "m"), ended(3*ms, 1, Failed), first(sent(13*time.Second, 2, "a", 7, "m"), 12*time.Second), ended(14*time.Second, 2, Delivered)}, ""},
+		{"a repeat that is held up, and left after its window", []Event{longer(in(0, "m", 1, 7)), taken(ms, "m"), sent(2*ms, 1, "a", 7, "m"), ended(3*ms, 1, Failed), first(sent(13*time.Second, 2, "a", 7, "m"), 12*time.Second+2*ms), ended(14*time.Second, 2, Delivered)}, repeated},
 		{"sent after it was turned away", []Event{in(0, "m", 2, 7), {At: ms, What: TurnedAt, Message: "m"}, sent(2*ms, 1, "a", 7, "m"), ended(3*ms, 1, Delivered)}, wrong},
 
 		{"right cell", []Event{in(0, "m", 0, 7), taken(ms, "m"), sent(2*ms, 1, "a", 7, "m"), ended(3*ms, 1, Delivered)}, ""},
--- a/internal/lab/ground.go
+++ b/internal/lab/ground.go
@@ -193,6 +193,9 @@
 	a.at, a.watches, a.failed = now, watches, failed
 }
 
+// Watches tells whether a sender has a call open at discovery that waits for news.
+func (g *Ground) Watches(sender int) bool { return g.asks[sender].watches }
+
 // Deem notes what senders count as told of that have neither watched nor asked for
 // as long as they may.
 func (g *Ground) Deem(now time.Duration) {
--- a/internal/state/loop.go
+++ b/internal/state/loop.go
@@ -79,6 +79,7 @@
 
 	departures *departures
 	waits      map[routeKey]toldWait
+	retrying   bool      // a round that writes the journal again is on its way
 	certain    certainty // whether the list of targets is the one that was told last
 
 	begun    bool
@@ -427,7 +428,9 @@
 	}
 	l.fresh, l.ready = nil, wait
 	if l.journal.dirty {
-		return // what is to be told is not known for good yet: in a later round
+		l.tellOverdue() // the rest is not known for good yet: in a later round
+		l.retryJournal()
+		return
 	}
 	for _, n := range l.notices {
 		l.notifier.Tell(n)
@@ -439,6 +442,31 @@
 	}
 }
 
+// tellOverdue tells the notices of messages whose time is up, though the journal lacks them: the next process, if it comes to
+// that, gives these messages up as well, and a second notice does no harm.
+func (l *Loop) tellOverdue() {
+	l.notices = slices.DeleteFunc(l.notices, func(n Notice) bool {
+		e := l.table.entries[n.Num]
+		overdue := e != nil && !l.now.Before(e.Deadline)
+		if overdue {
+			l.notifier.Tell(n)
+		}
+		return overdue
+	})
+}
+
+// journalPause is left between two attempts to write what the journal lacks.
+const journalPause = 20 * time.Millisecond
+
+// retryJournal sees to it that a round comes soon, in which the journal is written again.
+func (l *Loop) retryJournal() {
+	if l.retrying {
+		return
+	}
+	l.retrying = true
+	time.AfterFunc(journalPause, func() { l.Post(inspect(func() { l.retrying = false })) })
+}
+
 // tooLate gives up a message whose client was refused while it was written down: the disk stalled, or the loop.
 func (l *Loop) tooLate(e *entry) {
 	e.verdict = nil
--- a/internal/state/loop_test.go
+++ b/internal/state/loop_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"cleathold/control"
+	"cleathold/internal/store"
 )
 
 // outside is everything around a loop.
@@ -351,6 +352,47 @@
 	}
 }
 
+// A journal that fails for a while holds no notice back beyond the time of its message, when a next process would not send
+// it any more; one of a message with time left waits until it is written.
+func TestNoticesWhileTheJournalFails(t *testing.T) {
+	l, o := loop(t, t.TempDir(), 1e6)
+	start(t, l)
+	hand := func(id string, class int, within time.Duration) {
+		v := make(chan Verdict, 1)
+		l.Post(Handed{Message: &Message{ID: id, Class: class, Destination: 7, Deadline: time.Now().Add(within)}, Verdict: v})
+		if !get(t, v).Taken {
+			t.Fatalf("%s is not taken on", id)
+		}
+		l.Post(Answered{id, true})
+	}
+	hand("unsafe", 2, time.Minute)
+	call := get(t, o.calls)
+	const within = 400 * time.Millisecond
+	began := time.Now()
+	hand("short", 2, within)
+	short := get(t, o.calls)
+	time.AfterFunc(within, func() { l.Post(Ended{short, []End{{Forward: short.Forwards[0], Result: control.TimedOut}}}) })
+	whole := make(chan *store.Store, 1)
+	l.Post(inspect(func() {
+		broken, _ := open(t, t.TempDir(), 1e6)
+		broken.store.Close()
+		whole <- l.journal.store
+		l.journal.store = broken.store
+	}))
+	l.Post(Ended{call, []End{{Forward: call.Forwards[0], Result: control.Broken}}}) // given up at once
+	if n := get(t, o.notices); n.ID != "short" {
+		t.Errorf("%s is told while it could be forgotten", n.ID)
+	}
+	if took := time.Since(began); took > within+200*time.Millisecond {
+		t.Errorf("told %v after it was taken on, due after %v", took, within)
+	}
+	store := <-whole
+	l.Post(inspect(func() { l.journal.store = store }))
+	if n := get(t, o.notices); n.ID != "unsafe" { // with no event but the loop's own
+		t.Errorf("then told of %s", n.ID)
+	}
+}
+
 // Beyond what may be held, or journaled, a message gets a fixed response.
 func TestFixedResponses(t *testing.T) {
 	l, _ := loop(t, t.TempDir(), 1e6)
