Ask again at once where the first question after a move of discovery fails

Cause: what the new address has to tell counts as told 4 s after SIGHUP, but a first question there that failed was repeated after the wait of a failed ask, 1.2 to 3.6 s in a large fleet: known after up to 6 s and more. Change: the list counts as uncertain from the move on, and questions go on here.

--- a/internal/protocol/discovery.go
+++ b/internal/protocol/discovery.go
@@ -132,8 +132,8 @@
 	}
 }
 
-// Move turns to another address, where the whole list is asked for first: what
-// is under way at the old one is called off, as it may stay silent for good.
+// Move turns to another address, where the whole list is asked for first, again and again if need be: what it has to tell
+// counts as told 4 s later. What is under way at the old one is called off, as it may stay silent for good.
 func (d *Discovery) Move(addr string) {
 	d.mu.Lock()
 	d.addr = addr
@@ -141,7 +141,7 @@
 		d.callOff()
 	}
 	d.mu.Unlock()
-	d.wants <- want{watch: true, since: state.NoVersion}
+	d.wants <- want{watch: true, since: state.NoVersion, uncertain: time.Now()}
 }
 
 // begin returns where to ask, and a context that a move ends.
@@ -282,7 +282,7 @@
 		w.fetch = true
 		return
 	}
-	*w = want{watch: v.watch, since: v.since, fetch: w.fetch}
+	*w = want{watch: v.watch, since: v.since, fetch: w.fetch, uncertain: v.uncertain}
 }
 
 // pause waits until a time or the end of the context.
--- a/internal/protocol/reset_test.go
+++ b/internal/protocol/reset_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"slices"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -237,3 +238,37 @@
 		t.Errorf("%+v", n)
 	}
 }
+
+// What the address after a move has to tell counts as told 4 s later, so that a first question there which is not answered is
+// asked again here, soon, and is no failed ask of which the controller says when to repeat it.
+func TestMoveToASlowAddress(t *testing.T) {
+	old := socktest.Serve(t, func(int, *http.Request, string) string { return socktest.Hang })
+	var asked atomic.Int32
+	addr := socktest.Serve(t, func(_ int, r *http.Request, _ string) string {
+		if r.URL.Query().Has("since") {
+			return socktest.Hang
+		}
+		switch asked.Add(1) {
+		case 1:
+			return socktest.Hang
+		case 2:
+			return socktest.Status(http.StatusServiceUnavailable)
+		}
+		return socktest.JSON(`{"version":4,"full":true,"servers":[{"id":"new","state":"up","cell":1}]}`)
+	})
+	p := newPosts()
+	d := NewDiscovery(p, DiscoverySetup{Addr: old, Names: testNames, MustAsk: 10 * time.Second, Rest: 4 * time.Second, DrainGrace: 2 * time.Second, Log: quiet})
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan struct{})
+	go func() { defer close(ended); d.Run(ctx) }()
+	defer func() { cancel(); <-ended }()
+	d.Watch(true, 3)
+	moved := time.Now()
+	d.Move(addr)
+	if n := next[state.News](t, p); n.Form != control.ListFull || n.Targets[0].ID != "new" {
+		t.Errorf("%+v", n)
+	}
+	if took := time.Since(moved); took > 4*time.Second {
+		t.Errorf("known %v after the move", took)
+	}
+}
