--- a/control/validate.go
+++ b/control/validate.go
@@ -5,13 +5,16 @@
 // validate rejects settings that no decision could be based on.
 func validate(s *Settings) error {
 	if len(s.Classes) == 0 {
+		//lint:ignore ST1005 it begins with the name of the field
 		return fmt.Errorf("Classes: none given")
 	}
 	for i, k := range s.Classes {
 		if k.Deadline <= 0 || k.Aim < 0 || k.Memory < 0 || k.AimStretch < 0 {
+			//lint:ignore ST1005 it begins with the name of the field
 			return fmt.Errorf("Classes[%d]: Deadline must be positive; Aim, Memory, AimStretch not negative", i)
 		}
 		if k.Worth < 0 || k.LateWorth < 0 || k.LateWorth > 1 || k.Effect > Unsafe {
+			//lint:ignore ST1005 it begins with the name of the field
 			return fmt.Errorf("Classes[%d]: Worth, LateWorth or Effect out of range", i)
 		}
 	}
@@ -22,6 +25,7 @@
 	}
 	for i, t := range s.Tenants {
 		if t.Rate < 0 || t.Portion < 0 {
+			//lint:ignore ST1005 it begins with the name of the field
 			return fmt.Errorf("Tenants[%d]: negative Rate or Portion", i)
 		}
 	}
--- a/internal/held/store.go
+++ b/internal/held/store.go
@@ -16,6 +16,7 @@
 	"time"
 
 	bolt "go.etcd.io/bbolt"
+	bolterrors "go.etcd.io/bbolt/errors"
 )
 
 // The store is one bbolt file. Records and bodies are framed values; all other
@@ -233,7 +234,7 @@
 	}
 	s.abandon()
 	switch {
-	case errors.Is(err, bolt.ErrTimeout):
+	case errors.Is(err, bolterrors.ErrTimeout):
 		return nil, ErrInUse
 	case errors.Is(err, ErrNewer):
 		return nil, err
--- /dev/null
+++ b/internal/lifecycle/persist_test.go
@@ -0,0 +1,43 @@
+package lifecycle
+
+import (
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// What the system refuses for a moment is tried again until it is there, or the time is up; any other error ends at once.
+func TestPersist(t *testing.T) {
+	odd := errors.New("odd")
+	for _, c := range []struct {
+		name  string
+		err   error
+		fails int
+		tries int
+		want  error
+	}{
+		{"nothing wrong", nil, 0, 1, nil},
+		{"a disk that is full for a moment", fmt.Errorf("journal: %w", syscall.ENOSPC), 2, 3, nil},
+		{"no descriptor for a moment", &net.OpError{Op: "listen", Err: syscall.ENFILE}, 1, 2, nil},
+		{"what does not pass", odd, 1, 1, odd},
+		{"what does not pass in time", syscall.EIO, 1000, 0, syscall.EIO},
+	} {
+		tries := 0
+		got, err := persist(slog.New(slog.DiscardHandler), c.name, 4*persistPause, func() (int, error) {
+			if tries++; tries <= c.fails {
+				return 0, c.err
+			}
+			return 7, nil
+		})
+		if !errors.Is(err, c.want) || err == nil && got != 7 || c.tries > 0 && tries != c.tries || tries > 6 {
+			t.Errorf("%s: %d, %v after %d tries", c.name, got, err, tries)
+		}
+	}
+	if persistSpan+2*time.Second > 10*time.Second {
+		t.Error("a sender is to be ready within 10 s")
+	}
+}
--- a/internal/lifecycle/serve.go
+++ b/internal/lifecycle/serve.go
@@ -61,7 +61,7 @@
 
 // Run is Serve with the signals as parameters.
 func Run(load Source, log *slog.Logger, stop, reload <-chan os.Signal) error {
-	c, err := load()
+	c, err := persist(log, "configuration", persistSpan, load)
 	if err != nil {
 		return err
 	}
@@ -74,7 +74,7 @@
 	p.board = &board{machine: p.machine, name: c.Name, release: c.Release, started: time.Now(), counters: p.counters, clients: p.clients}
 	p.inForce(c)
 	if c.Admin != "" {
-		front, err := admin.ListenTCP(c.Admin, p.board, log)
+		front, err := persist(log, "admin", persistSpan, func() (*admin.Front, error) { return admin.ListenTCP(c.Admin, p.board, log) })
 		if err != nil {
 			return err
 		}
@@ -152,7 +152,9 @@
 	var listener *protocol.Listener
 	if before != nil {
 		listener = protocol.ListenOn(before.sock, loop, c.Names, c.Settings.Classes, clients, c.Limits.Sockets/keepPart, log)
-	} else if listener, err = protocol.Listen(c.Listen, loop, c.Names, c.Settings.Classes, clients, c.Limits.Sockets/keepPart, log); err != nil {
+	} else if listener, err = persist(log, "listen", persistSpan, func() (*protocol.Listener, error) {
+		return protocol.Listen(c.Listen, loop, c.Names, c.Settings.Classes, clients, c.Limits.Sockets/keepPart, log)
+	}); err != nil {
 		return nil, fmt.Errorf("listen: %w", err)
 	}
 	listener.Count(p.clients)
@@ -279,7 +281,7 @@
 // newLoop makes a loop. One that takes over may find the journal locked for a moment.
 func newLoop(s state.Setup, over bool) (*state.Loop, error) {
 	for until := time.Now().Add(lockSpan); ; time.Sleep(idleCheck) {
-		loop, err := state.NewLoop(s)
+		loop, err := persist(s.Log, "journal", persistSpan, func() (*state.Loop, error) { return state.NewLoop(s) })
 		if !over || !errors.Is(err, store.ErrLocked) || time.Now().After(until) {
 			return loop, err
 		}
@@ -291,7 +293,9 @@
 	if !c.Settings.CanTell || c.PeerListen == "" || c.PeersAll == "" {
 		return nil
 	}
-	peers, err := protocol.OpenPeers(c.PeerListen, c.PeersAll, c.Peers, c.Settings.Index, log)
+	peers, err := persist(log, "peers", peersSpan, func() (*protocol.Peers, error) {
+		return protocol.OpenPeers(c.PeerListen, c.PeersAll, c.Peers, c.Settings.Index, log)
+	})
 	if err != nil {
 		log.Error("no notes between senders: see peer_listen, peers and peers_all", "err", err)
 		return nil
@@ -322,7 +326,7 @@
 // over as the sender runs, all of them or none. What else has changed waits for the
 // next start: the journal and the listener are built on it.
 func renew(old Config, load Source, to changes, log *slog.Logger) Config {
-	c, err := load()
+	c, err := persist(log, "configuration", rereadSpan, load)
 	if err == nil {
 		err = readAgain(old, c)
 	}
--- a/internal/protocol/discovery.go
+++ b/internal/protocol/discovery.go
@@ -228,10 +228,10 @@
 		d.Log.Warn("discovery: an answer broke off and is asked for again", "err", err, "bytes", len(unread.body), "asks", now.retries)
 		d.post.Post(state.Unread{At: unread.began, Leaving: leavingOf(unread.body, d.Names)})
 		now.uncertain = unread.began
-		d.retry(ctx, now)
+		d.retry(ctx, now, err)
 	case !now.uncertain.IsZero() && time.Since(now.uncertain) < state.UncertainSpan(d.MustAsk):
 		d.Log.Info("discovery: no answer while the list is uncertain, asked again", "err", err, "asks", now.retries)
-		d.retry(ctx, now)
+		d.retry(ctx, now, err)
 	case now.watch && !now.missed && (errors.Is(err, errSilent) || errors.Is(err, errEnded) && d.Rest == 0):
 		d.Log.Info("discovery: the watch fell silent or ended and is opened anew", "err", err)
 		now.missed = true
@@ -242,10 +242,11 @@
 	}
 }
 
-// retry has the next question be one without a wait, after a pause that doubles.
-func (d *Discovery) retry(ctx context.Context, now *want) {
+// retry has the next question be one without a wait, after a pause that doubles. A large fleet's sender takes its time, as
+// discovery works questions off in turn, unless this one did not leave the machine.
+func (d *Discovery) retry(ctx context.Context, now *want, err error) {
 	first, most := retryFirst, retryMost
-	if d.Rest > 0 {
+	if d.Rest > 0 && !localFailure(err) {
 		first, most = max(first, time.Duration(retryFleet*float64(d.DrainGrace))), retryFleetMost
 	}
 	wait := min(first<<min(now.retries, 10), most)
--- a/internal/protocol/link.go
+++ b/internal/protocol/link.go
@@ -253,6 +253,16 @@
 	return r.conn.Read(p)
 }
 
+// localFailure tells an error of this machine's own, which the system reports at once, from one of the other side.
+func localFailure(err error) bool {
+	for _, e := range []syscall.Errno{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.EADDRNOTAVAIL, syscall.ENETUNREACH} {
+		if errors.Is(err, e) {
+			return true
+		}
+	}
+	return false
+}
+
 // turn goes on with another address, if it is one.
 func (d *dialog) turn(addr string) {
 	if d.addr != addr {
--- a/internal/protocol/notices.go
+++ b/internal/protocol/notices.go
@@ -17,9 +17,9 @@
 	noticeSpan = 500 * time.Millisecond // an answer to notices may take so long, connecting included...
 	keptSpan   = 130 * time.Millisecond // ...and on a connection from before so long: it may have fallen silent, and
 	// a notice is due 300 ms after its message's time
-	noticeMost = 256                    // notices in one call
-	pauseFirst = 10 * time.Millisecond  // after a failure, doubled up to...
-	pauseMost  = 100 * time.Millisecond // ...this: a notice is late 300 ms after its time
+	noticeMost = 256                   // notices in one call
+	pauseFirst = 10 * time.Millisecond // after a failure, doubled up to...
+	pauseMost  = 40 * time.Millisecond // ...this: a notice is late 300 ms after its time
 )
 
 // Notices tells the platform of the ends of messages, in order, each until it
--- a/internal/report/limits.go
+++ b/internal/report/limits.go
@@ -29,7 +29,6 @@
 	dests map[int][]*second
 	calls map[uint64]*second
 	limit map[string]float64 // of endpoints whose limit is cut: the factor
-	next  int                // of the plan's changes
 }
 
 type second struct {
--- a/internal/rig/door.go
+++ b/internal/rig/door.go
@@ -374,6 +374,10 @@
 			return false
 		default:
 		}
+		if hungUp(v.conn) { // it gave up in this instant: what would be written is told to nobody
+			v.over(call.ID, first, c.limit)
+			return false
+		}
 		v.ended(call.ID, a, ids)
 		if !v.passes(true, left) {
 			return false
--- a/internal/soak/draw.go
+++ b/internal/soak/draw.go
@@ -182,12 +182,16 @@
 	c.Notes = append(c.Notes, fmt.Sprintf(format, args...))
 }
 
+// injectMost calls in a row fail, and two more: a moment, as the sender makes them. Notices are due within 300 ms.
+const injectMost = 7
+
 // injections are system calls that fail as Linux documents. The first figure is the call from which on, counted from the
 // start of the process, the second how many fail.
 var injections = []string{
 	"accept4:error=ECONNABORTED:when=%d+5", "accept4:error=ENFILE:when=%d..%d", "accept4:error=ENOBUFS:when=%d..%d",
 	"connect:error=EADDRNOTAVAIL:when=%d..%d", "connect:error=ENETUNREACH:when=%d..%d", "connect:error=ENOBUFS:when=%d+9",
 	"connect:error=ETIMEDOUT:when=%d+11", "connect:error=EHOSTUNREACH:when=%d..%d", "socket:error=ENFILE:when=%d..%d",
+	"pwrite64:error=ENOSPC:when=1..4", "pwrite64:error=EIO:when=2..5", "socket:error=ENFILE:when=1..4", "listen:error=ENOBUFS:when=1..2",
 	"pwrite64:error=ENOSPC:when=%d..%d", "pwrite64:error=EIO:when=%d..%d", "renameat:error=ENOSPC:when=1..3",
 	"epoll_pwait:error=EINTR:when=%d+7", "read:error=EINTR:when=%d+13", "write:error=EINTR:when=%d+13",
 }
@@ -204,7 +208,7 @@
 		case 1:
 			form = fmt.Sprintf(form, from)
 		case 2:
-			form = fmt.Sprintf(form, from, from+5+d.IntN(40))
+			form = fmt.Sprintf(form, from, from+2+d.IntN(injectMost))
 		}
 		c.Calls[i] = form
 		c.note("n%d: %s", i, form)
--- a/internal/store/fs.go
+++ b/internal/store/fs.go
@@ -118,13 +118,9 @@
 		}
 		return nil, err
 	}
-	if err := f.Truncate(0); err == nil {
-		_, err = f.WriteAt([]byte(strconv.Itoa(os.Getpid())+"\n"), 0)
-	}
-	if err != nil {
-		f.Close()
-		return nil, err
-	}
+	// The owner's number is for those who are refused: a disk that does not take it keeps nobody from starting.
+	f.Truncate(0)
+	f.WriteAt([]byte(strconv.Itoa(os.Getpid())+"\n"), 0)
 	return f, nil
 }
 
