--- a/internal/lifecycle/persist_test.go
+++ b/internal/lifecycle/persist_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"log/slog"
 	"net"
+	"os"
 	"syscall"
 	"testing"
 	"time"
@@ -41,3 +42,18 @@
 		t.Error("a sender is to be ready within 10 s")
 	}
 }
+
+// A stop counts from its signal, also where the process is busy then, as with a configuration that it reads again; of several
+// signals the first counts.
+func TestStopCountsFromItsSignal(t *testing.T) {
+	signals := make(chan os.Signal, 4)
+	told := stopTimes(t.Context(), signals)
+	began := time.Now()
+	signals <- syscall.SIGTERM
+	time.Sleep(300 * time.Millisecond) // busy
+	signals <- syscall.SIGINT
+	time.Sleep(50 * time.Millisecond)
+	if late := (<-told).Sub(began); late > 200*time.Millisecond {
+		t.Errorf("counted from %v after the signal", late)
+	}
+}
--- a/internal/lifecycle/serve.go
+++ b/internal/lifecycle/serve.go
@@ -67,10 +67,11 @@
 	}
 	limitRuntime(c.Limits)
 	c.given = c.named()
-	p := &process{load: load, log: log, stop: stop, reload: reload, machine: newMachine(log), counters: &state.Counters{}, clients: &protocol.Counters{}}
+	p := &process{load: load, log: log, reload: reload, machine: newMachine(log), counters: &state.Counters{}, clients: &protocol.Counters{}}
 	var end context.CancelFunc
 	p.ctx, end = context.WithCancel(context.Background())
 	defer end()
+	p.stop = stopTimes(p.ctx, stop)
 	p.board = &board{machine: p.machine, name: c.Name, release: c.Release, started: time.Now(), counters: p.counters, clients: p.clients}
 	p.inForce(c)
 	if c.Admin != "" {
@@ -99,14 +100,35 @@
 
 // A process is what outlasts a term of serving.
 type process struct {
-	load         Source
-	log          *slog.Logger
-	stop, reload <-chan os.Signal
-	machine      *machine
-	board        *board
-	counters     *state.Counters
-	clients      *protocol.Counters
-	ctx          context.Context // ends with the process
+	load     Source
+	log      *slog.Logger
+	reload   <-chan os.Signal
+	stop     <-chan time.Time // when it was told to stop
+	machine  *machine
+	board    *board
+	counters *state.Counters
+	clients  *protocol.Counters
+	ctx      context.Context // ends with the process
+}
+
+// stopTimes tells when the first signal to stop came, whatever the process is doing then: all that is due after it counts from
+// the signal, and the platform kills the process 3.7 s after that.
+func stopTimes(ctx context.Context, signals <-chan os.Signal) <-chan time.Time {
+	told := make(chan time.Time, 1)
+	go func() {
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case <-signals:
+			}
+			select {
+			case told <- time.Now():
+			default: // it has been told
+			}
+		}
+	}()
+	return told
 }
 
 // inForce has the status name the configuration that holds.
@@ -227,6 +249,7 @@
 		loop.PostBefore(state.SetAside{IDs: ids}, time.Now().Add(tuneSpan))
 	})
 	p.machine.begin(listener)
+	var told time.Time // to stop
 	log.Info("serving", "name", c.Name, "listen", listener.Addr().String(), "siblings", c.Settings.Siblings,
 		"list", c.Known.Version, "targets", len(c.Known.Targets), "discovery", c.Discovery)
 	for {
@@ -259,11 +282,10 @@
 			listener.Finish(time.Now().Add(readOutSpan))
 			log.Info("stopped: another process has taken over", "name", c.Name)
 			return nil, nil
-		case <-p.stop:
+		case told = <-p.stop:
 		}
 		break
 	}
-	told := time.Now()
 	p.machine.enter(stopping)
 	shutDown(loop, listener, told)
 	leave()
--- a/internal/lifecycle/succession.go
+++ b/internal/lifecycle/succession.go
@@ -81,8 +81,7 @@
 	var told time.Time
 	select {
 	case err = <-gave:
-	case <-p.stop:
-		told = time.Now()
+	case told = <-p.stop:
 		p.machine.enter(stopping)
 		select {
 		case err = <-gave:
@@ -115,8 +114,7 @@
 		select {
 		case <-passed:
 			return nil
-		case <-p.stop:
-			told = time.Now()
+		case told = <-p.stop:
 			p.machine.enter(stopping)
 		}
 	}
