--- a/internal/state/certainty.go
+++ b/internal/state/certainty.go
@@ -47,7 +47,7 @@
 
 // holds tells whether nothing new may be sent at a time, and when to look again; the zero time stands for never.
 func (c *certainty) holds(now time.Time, grace, span time.Duration) (held bool, next time.Time) {
-	if c.first.IsZero() {
+	if c.first.IsZero() || grace <= 0 { // or the settings know no such rule
 		return false, time.Time{}
 	}
 	from, to := c.first.Add(permit.HoldAfter(grace)), c.last.Add(span)
--- a/internal/state/certainty_test.go
+++ b/internal/state/certainty_test.go
@@ -25,6 +25,9 @@
 			t.Errorf("at %v: %t, next %v", x.now, held, next.Sub(zero))
 		}
 	}
+	if held, next := c.holds(at(5), 0, span); held || !next.IsZero() {
+		t.Errorf("without a grace: %t, next %v", held, next)
+	}
 	if held, next := c.holds(at(11), grace, span); held || !next.IsZero() {
 		t.Errorf("at the end: %t, next %v", held, next)
 	}
