Count told waits from their answers, and have them bind the address where routes are apart

Events that come in the middle of a round now have their own time. Now it binds the address (Controller.Bind).

--- a/control/state.go
+++ b/control/state.go
@@ -635,6 +635,14 @@
 	}
 }
 
+// Bind has a wait bind an endpoint that was told before the endpoint was listed, as by another one at its address.
+func (c *Controller) Bind(now time.Duration, id EndpointID, wait time.Duration) {
+	c.clock(now)
+	if e := c.endpoints[id]; e != nil {
+		e.route.wait = max(e.route.wait, now+wait)
+	}
+}
+
 // Abroad tells how many slots calls of another process of this instance take.
 func (c *Controller) Abroad(now time.Duration, calls int) {
 	c.clock(now)
--- a/internal/state/gate.go
+++ b/internal/state/gate.go
@@ -12,10 +12,12 @@
 // (package permit). What comes back of a call tells when its first byte was written, which is judged by the same rules: a
 // break of them is counted and logged, and never goes unseen.
 
-// A routeKey names what a told wait binds: a destination, or one target where its kind has routes apart.
+// A routeKey names what a told wait binds: a destination, or one target where its kind has routes apart. That is bound by its
+// address, too: discovery may list another target there before the wait is over, or have done so unread.
 type routeKey struct {
 	destination int
 	target      string
+	address     string
 }
 
 // A toldWait is a wait that a target has told.
@@ -27,7 +29,7 @@
 // routeOf is what a wait told by a target binds.
 func (l *Loop) routeOf(t Target) routeKey {
 	if l.apart(t.Kind) {
-		return routeKey{t.Destination, t.ID}
+		return routeKey{destination: t.Destination, target: t.ID}
 	}
 	return routeKey{destination: t.Destination}
 }
@@ -41,9 +43,31 @@
 			}
 		}
 	}
-	key := l.routeOf(t)
-	if until := l.now.Add(wait); until.After(l.waits[key].until) && len(l.waits) < 2*waitsMost {
-		l.waits[key] = toldWait{l.now, until}
+	keys := []routeKey{l.routeOf(t)}
+	if l.apart(t.Kind) {
+		keys = append(keys, addressOf(t))
+	}
+	for _, key := range keys {
+		if until := l.now.Add(wait); until.After(l.waits[key].until) && len(l.waits) < 2*waitsMost {
+			l.waits[key] = toldWait{l.now, until}
+		}
+	}
+}
+
+// addressOf is what a wait told by a target binds besides the target itself.
+func addressOf(t Target) routeKey { return routeKey{destination: t.Destination, address: t.Addr} }
+
+// bind has waits told at an address bind the targets that are listed there now.
+func (l *Loop) bind(listed []Target) {
+	for _, line := range listed {
+		t := l.group.byID[line.ID]
+		if t == nil || !l.apart(t.Kind) {
+			continue
+		}
+		if w := l.waits[addressOf(*t)]; l.now.Before(w.until) {
+			l.waits[l.routeOf(*t)] = w
+			l.ctl.Bind(l.since(), t.Endpoint.ID, w.until.Sub(l.now))
+		}
 	}
 }
 
--- a/internal/state/gate_test.go
+++ b/internal/state/gate_test.go
@@ -65,3 +65,32 @@
 		}
 	}
 }
+
+// A told wait counts from when its answer came, also where that was in the middle of a round; and it binds the next target
+// at the same address, under whatever id that is listed.
+func TestWaitsAreKept(t *testing.T) {
+	const wait = 300 * time.Millisecond
+	for _, c := range []struct {
+		name string
+		busy time.Duration // so long the round has gone on
+		news bool
+	}{{"in the middle of a round", 150 * time.Millisecond, false}, {"another id at the address", 0, true}} {
+		l, o := loop(t, t.TempDir(), 1e6)
+		start(t, l)
+		call := o.callOf(t, l, "a")
+		var told time.Time
+		l.Post(inspect(func() {
+			time.Sleep(c.busy)
+			told = time.Now()
+			l.events <- Ended{call, []End{{Forward: call.Forwards[0], Result: control.Full, Wait: wait}}}
+			if c.news {
+				gone, next := call.Target, call.Target
+				gone.State, next.ID = control.Removed, "s2"
+				l.events <- News{Form: control.ListDelta, Version: 2, Targets: []Target{gone, next}}
+			}
+		}))
+		if again := get(t, o.calls); time.Since(told) < wait {
+			t.Errorf("%s: a call to %s %v after a wait of %v was told", c.name, again.Target.ID, time.Since(told), wait)
+		}
+	}
+}
--- a/internal/state/loop.go
+++ b/internal/state/loop.go
@@ -306,6 +306,7 @@
 	for n := len(events); n < roundMost; n++ {
 		select {
 		case e := <-l.events:
+			l.now = l.clock() // what came in the middle of the round is not older than that
 			l.handle(e)
 			continue
 		default:
@@ -335,6 +336,7 @@
 		l.book(e)
 	case News:
 		l.ctl.Endpoints(l.since(), e.Form, l.group.take(e, l.now))
+		l.bind(e.Targets)
 		l.unlisted()
 		l.tellListing()
 		if e.Form == control.ListFull || e.Form == control.ListDelta {
