--- a/internal/protocol/discovery.go
+++ b/internal/protocol/discovery.go
@@ -16,7 +16,6 @@
 	"github.com/tidwall/gjson"
 
 	"cleathold/control"
-	"cleathold/internal/permit"
 	"cleathold/internal/state"
 )
 
@@ -40,11 +39,14 @@
 	// what was told to all of it at one instant may have broken off for all.
 	retryFleet     = 0.3
 	retryFleetMost = 2400 * time.Millisecond
+	// retryBehind parts of the time over which a fleet spreads its questions make the first pause after one that was refused.
+	retryBehind = 4
 	// restPart of the grace of drains is the most that a large fleet's sender rests after news. A watch goes on for 200 ms
 	// after an answer, in which changes count as told: they must be known before the grace is over.
 	restPart = 0.4
-	// confirmMargin is how long before sends are held back the first question after such a rest is to be answered.
-	confirmMargin = 400 * time.Millisecond
+	// openSpan is how long a watch has been open when it counts as received: discovery answers 503 where one waited too long.
+	// A rest and this are over before sends would be held back.
+	openSpan = 900 * time.Millisecond
 )
 
 // errSilent tells of a question whose answer did not come in its time.
@@ -163,7 +165,9 @@
 		asking, end, addr := d.begin(ctx)
 		link.turn(addr)
 		asked := time.Now()
+		opened := d.settle(now)
 		news, err := d.get(asking, link, now)
+		opened.Stop()
 		switch {
 		case asking.Err() != nil: // moved, also where an answer came in that instant
 			now.watch, now.fetch = false, false // what to ask at the new address is among the wants
@@ -180,6 +184,15 @@
 	}
 }
 
+// settle tells that the list is known once a watch after a rest has been open for a while. What was told before the watch
+// would have come by then.
+func (d *Discovery) settle(now want) *time.Timer {
+	if now.uncertain.IsZero() || now.missed || now.whole() {
+		return time.NewTimer(time.Hour)
+	}
+	return time.AfterFunc(openSpan, func() { d.post.Post(state.Settled{}) })
+}
+
 // answerMost is how long an answer may take from its first byte on. Where that is longer than usual the list counts as
 // uncertain before the grace of drains is over.
 func (d *Discovery) answerMost() time.Duration {
@@ -231,6 +244,9 @@
 		d.retry(ctx, now, err)
 	case !now.uncertain.IsZero() && time.Since(now.uncertain) < state.UncertainSpan(d.MustAsk):
 		d.Log.Info("discovery: no answer while the list is uncertain, asked again", "err", err, "asks", now.retries)
+		if !now.whole() {
+			d.post.Post(state.Unsettled{Since: now.uncertain})
+		}
 		d.retry(ctx, now, err)
 	case now.watch && !now.missed && (errors.Is(err, errSilent) || errors.Is(err, errEnded) && d.Rest == 0):
 		d.Log.Info("discovery: the watch fell silent or ended and is opened anew", "err", err)
@@ -246,8 +262,13 @@
 // discovery works questions off in turn, unless this one did not leave the machine.
 func (d *Discovery) retry(ctx context.Context, now *want, err error) {
 	first, most := retryFirst, retryMost
-	if d.Rest > 0 && !localFailure(err) {
+	var unread *unreadError
+	switch {
+	case d.Rest == 0 || localFailure(err):
+	case errors.As(err, &unread) || now.whole():
 		first, most = max(first, time.Duration(retryFleet*float64(d.DrainGrace))), retryFleetMost
+	default: // it may be behind with the questions of all
+		first, most = max(first, d.Rest/retryBehind), retryFleetMost
 	}
 	wait := min(first<<min(now.retries, 10), most)
 	now.missed = true
@@ -301,7 +322,10 @@
 func (d *Discovery) get(ctx context.Context, link *dialog, w want) (state.News, error) {
 	path, limit := listPath, time.Now().Add(listSpan)
 	if !w.whole() {
-		wait := d.waitOf(w)
+		wait := d.wait
+		if w.missed {
+			wait = time.Millisecond
+		}
 		path += "?since=" + strconv.FormatInt(w.since, 10) + "&timeout_ms=" + strconv.FormatInt(wait.Milliseconds(), 10)
 		limit = limit.Add(wait)
 	}
@@ -325,18 +349,6 @@
 	return state.News{}, err
 }
 
-// waitOf is how long a watch is asked to wait. One on which it depends whether the list is known is answered in time for that.
-func (d *Discovery) waitOf(w want) time.Duration {
-	switch {
-	case w.missed:
-		return time.Millisecond
-	case !w.uncertain.IsZero():
-		by := w.uncertain.Add(permit.HoldAfter(d.DrainGrace) - confirmMargin)
-		return min(d.wait, max(time.Millisecond, time.Until(by).Truncate(time.Millisecond)))
-	}
-	return d.wait
-}
-
 // ParseList reads discovery's list, or its changes.
 func ParseList(body []byte, n Names) (state.News, error) {
 	if !gjson.ValidBytes(body) {
--- a/internal/state/certainty.go
+++ b/internal/state/certainty.go
@@ -31,6 +31,12 @@
 	Leaving []Target
 }
 
+// Settled tells that a question is open at discovery, which would have answered had there been anything to tell.
+type Settled struct{}
+
+// Unsettled tells that the question after a rest failed: what was told since a time is not known.
+type Unsettled struct{ Since time.Time }
+
 // A certainty tells from when until when sends are held back because the list may not be the one that was told last.
 type certainty struct {
 	first time.Time // when the first answer that could not be read began; zero: the list is known
--- a/internal/state/loop.go
+++ b/internal/state/loop.go
@@ -345,6 +345,11 @@
 		}
 	case Unread:
 		l.unread(e)
+	case Settled:
+		l.listKnown(false)
+	case Unsettled:
+		l.certain.doubt(e.Since)
+		l.reviewList()
 	case Resend:
 		l.admitHeld(e)
 	case Stored:
