Take a watch that ended after it was received for no sign of an uncertain list

Change: one that has been open for longer than an answer may take was received. Test: TestWatchAfterARest.

--- a/internal/protocol/discovery.go
+++ b/internal/protocol/discovery.go
@@ -101,6 +101,9 @@
 // whole tells that the whole list is asked for, not what has changed.
 func (w want) whole() bool { return w.fetch || w.since == state.NoVersion }
 
+// settles tells whether this is the watch after a rest: once it is open the list is known.
+func (w want) settles() bool { return !w.uncertain.IsZero() && !w.missed && !w.whole() }
+
 // failed ends the asking: when to ask again is the controller's to say.
 func (w *want) failed() {
 	*w = want{since: w.since}
@@ -172,6 +175,9 @@
 		case asking.Err() != nil: // moved, also where an answer came in that instant
 			now.watch, now.fetch = false, false // what to ask at the new address is among the wants
 		case err != nil:
+			if now.settles() && time.Since(asked) > listSpan {
+				now.uncertain = time.Time{} // it was received, and ended later
+			}
 			d.missed(asking, &now, err)
 		case !now.whole() && news.Version < now.since:
 			d.Log.Warn("discovery: an older list than the one known, asked for whole", "known", now.since, "told", news.Version)
@@ -187,7 +193,7 @@
 // settle tells that the list is known once a watch after a rest has been open for a while. What was told before the watch
 // would have come by then.
 func (d *Discovery) settle(now want) *time.Timer {
-	if now.uncertain.IsZero() || now.missed || now.whole() {
+	if !now.settles() {
 		return time.NewTimer(time.Hour)
 	}
 	return time.AfterFunc(openSpan, func() { d.post.Post(state.Settled{}) })
--- a/internal/protocol/silence_test.go
+++ b/internal/protocol/silence_test.go
@@ -203,3 +203,41 @@
 		t.Errorf("told %v after the platform could be reached", late)
 	}
 }
+
+// In a large fleet the list is known once the watch after a rest has been open for a while. A watch that ends later was
+// received; one that is refused at once leaves what was told before it unknown.
+func TestWatchAfterARest(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		open time.Duration // before it is refused
+	}{{"ends later", listSpan + 200*time.Millisecond}, {"is refused", 0}} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			addr := socktest.Serve(t, func(_ int, r *http.Request, _ string) string {
+				if r.URL.Query().Get("since") == "4" {
+					return socktest.JSON(changedList)
+				}
+				time.Sleep(c.open)
+				return socktest.Status(http.StatusServiceUnavailable)
+			})
+			p := newPosts()
+			d := NewDiscovery(p, DiscoverySetup{Addr: addr, Names: testNames, MustAsk: 10 * time.Second, Rest: 100 * time.Millisecond, DrainGrace: 2 * time.Second, Log: quiet})
+			ctx, cancel := context.WithCancel(t.Context())
+			ended := make(chan struct{})
+			go func() { defer close(ended); d.Run(ctx) }()
+			defer func() { cancel(); <-ended }()
+			d.Watch(true, 4)
+			if n := next[state.News](t, p); !n.Rests {
+				t.Errorf("%+v", n)
+			}
+			if c.open > 0 {
+				next[state.Settled](t, p)
+				next[state.News](t, p)
+				return
+			}
+			if u := next[state.Unsettled](t, p); time.Since(u.Since) > time.Second {
+				t.Errorf("uncertain for %v", time.Since(u.Since))
+			}
+		})
+	}
+}
