--- a/cmd/cleathold/discoverystub_test.go
+++ b/cmd/cleathold/discoverystub_test.go
@@ -65,9 +65,11 @@
 		io.Copy(io.Discard, r.Body)
 		if r.Method == http.MethodPost {
 			io.WriteString(c, socktest.Status(http.StatusNoContent))
-			continue
+		} else if stub.silent.Load() || !stub.answer(c, r) {
+			return
 		}
-		if stub.silent.Load() || !stub.answer(c, r) {
+		if r.Close {
+			c.Close()
 			return
 		}
 	}
--- a/internal/admin/client.go
+++ b/internal/admin/client.go
@@ -12,6 +12,7 @@
 	"strconv"
 
 	"cleathold/internal/deadletter"
+	"cleathold/internal/httpconn"
 )
 
 // API gives access to dead letters, either through a running sender or, read-only, in the folder of a stopped one.
@@ -33,14 +34,12 @@
 	ErrReadOnly = errors.New("the folder of a stopped sender can be read only: start the sender and ask it by --socket")
 )
 
-// Dial returns the API of a running sender at its socket. It connects on the first call.
+// Dial returns the API of a running sender at its socket. Each call uses a connection of its own.
 func Dial(socket string) API {
-	return &client{socket, &http.Client{Transport: &http.Transport{
-		DialContext: func(ctx context.Context, _, _ string) (net.Conn, error) {
-			var d net.Dialer
-			return d.DialContext(ctx, "unix", socket)
-		},
-	}}}
+	dial := func(ctx context.Context, _ string) (net.Conn, error) {
+		return (&net.Dialer{}).DialContext(ctx, "unix", socket)
+	}
+	return &client{socket, &http.Client{Transport: &httpconn.RoundTripper{Dial: dial}}}
 }
 
 // client implements API for a running sender.
@@ -49,10 +48,8 @@
 	http   *http.Client
 }
 
-func (c *client) Close() error {
-	c.http.CloseIdleConnections()
-	return nil
-}
+// Close implements API. There is nothing to close, since each call uses a connection of its own.
+func (c *client) Close() error { return nil }
 
 // call makes one request and decodes the response.
 func (c *client) call(ctx context.Context, method, path string, body, into any) error {
--- a/internal/admin/httpserver_test.go
+++ b/internal/admin/httpserver_test.go
@@ -44,7 +44,9 @@
 	return l.rejection
 }
 func (l *recordingLifecycle) Targets() []state.ListedTarget { return nil }
-func (l *recordingLifecycle) Status() Status                { return Status{Name: "n1"} }
+func (l *recordingLifecycle) Status() DetailedStatus {
+	return DetailedStatus{Status: Status{Name: "n1"}}
+}
 
 func startServer(t *testing.T, p *recordingLifecycle) *HTTPServer {
 	t.Helper()
--- a/internal/admin/lifecycle.go
+++ b/internal/admin/lifecycle.go
@@ -29,7 +29,7 @@
 	// the given time.
 	SetExclusions(epoch uint64, ids []string, until time.Time) error
 	// Status returns the current status.
-	Status() Status
+	Status() DetailedStatus
 	// Targets returns the targets on discovery's list.
 	Targets() []state.ListedTarget
 }
@@ -65,6 +65,12 @@
 	MemoryMB    float64         `json:"memory_mb"`
 }
 
+// DetailedStatus is the response to StatusPath: the status with counts for operators, which agents ignore.
+type DetailedStatus struct {
+	Status
+	Endpoints protocol.TransportCounts `json:"endpoints"`
+}
+
 // Digest returns a short digest of a text.
 func Digest(text string) string { return fmt.Sprintf("%x", sha256.Sum256([]byte(text)))[:16] }
 
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -18,6 +18,7 @@
 	"sync"
 	"time"
 
+	"cleathold/internal/httpconn"
 	"cleathold/internal/quorum"
 )
 
@@ -51,7 +52,7 @@
 	}
 	a := &Agent{
 		cfg: cfg, log: cfg.Log, fleet: newFleetState(), nodeErr: errors.New("starting"),
-		http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2, IdleConnTimeout: time.Second}},
+		http: httpconn.NewClient(),
 	}
 	for _, sender := range cfg.Senders {
 		s, err := newSupervisor(a, sender)
--- a/internal/agent/client.go
+++ b/internal/agent/client.go
@@ -10,30 +10,35 @@
 	"maps"
 	"net/http"
 	"time"
+
+	"cleathold/internal/httpconn"
 )
 
 const maxResponseSize = 4 * maxBodySize // bytes
 
+// defaultClient makes the calls of commands.
+var defaultClient = httpconn.NewClient()
+
 // errNoResponse is returned for a call without a response: the request may or may not have arrived.
 var errNoResponse = errors.New("no answer")
 
 // FetchView returns the state of the fleet from the agent at addr (host:port). It is the leader's view if that agent
 // can reach the leader, and otherwise the agent's own.
 func FetchView(ctx context.Context, addr string) (v FleetView, err error) {
-	err = sendJSON(ctx, http.DefaultClient, addr, viewPath, nil, &v, nil)
+	err = sendJSON(ctx, defaultClient, addr, viewPath, nil, &v, nil)
 	return v, err
 }
 
 // FetchOwnView returns the own view of the agent at addr (host:port), without a call to the leader.
 func FetchOwnView(ctx context.Context, addr string) (v FleetView, err error) {
-	err = sendJSON(ctx, http.DefaultClient, addr, viewPath+"?own=1", nil, &v, nil)
+	err = sendJSON(ctx, defaultClient, addr, viewPath+"?own=1", nil, &v, nil)
 	return v, err
 }
 
 // SendCommand sends a command to the agent at addr (host:port) for execution. An error means that there is no usable
 // response and that the outcome of the command is unknown. A rejection is not an error; the CommandResult reports it.
 func SendCommand(ctx context.Context, addr string, call CommandRequest) (result CommandResult, err error) {
-	err = sendJSON(ctx, http.DefaultClient, addr, commandPath, call, &result, nil)
+	err = sendJSON(ctx, defaultClient, addr, commandPath, call, &result, nil)
 	return result, err
 }
 
--- a/internal/agent/remoteobserver.go
+++ b/internal/agent/remoteobserver.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"cleathold/internal/admin"
+	"cleathold/internal/httpconn"
 	"cleathold/internal/rollout"
 )
 
@@ -32,7 +33,7 @@
 }
 
 func newRemoteObserver(a *Agent) *remoteObserver {
-	return &remoteObserver{a, &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}}
+	return &remoteObserver{a, httpconn.NewClient()}
 }
 
 // run polls until the context ends.
--- a/internal/agent/senderclient.go
+++ b/internal/agent/senderclient.go
@@ -12,6 +12,7 @@
 	"github.com/tidwall/gjson"
 
 	"cleathold/internal/admin"
+	"cleathold/internal/httpconn"
 	"cleathold/internal/rollout"
 )
 
@@ -25,7 +26,7 @@
 
 func newSenderClient(sender Sender, traffic *trafficCounters) *senderClient {
 	return &senderClient{
-		sender: sender, traffic: traffic, http: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}},
+		sender: sender, traffic: traffic, http: httpconn.NewClient(),
 	}
 }
 
--- a/internal/harness/call_request.go
+++ b/internal/harness/call_request.go
@@ -20,6 +20,7 @@
 	messages    []partner.Message
 	batch       bool // several messages in one call
 	healthCheck bool
+	closes      bool          // the sender asks to close the connection after the answer
 	timeout     time.Duration // how long the sender waits for the answer, from X-Deadline; 0 = not given
 }
 
@@ -52,7 +53,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &receivedCall{}
+	c := &receivedCall{closes: r.Close}
 	if s, err := strconv.ParseFloat(r.Header.Get("X-Deadline"), 64); err == nil && s > 0 && s < 1e6 {
 		c.timeout = time.Duration(s * float64(time.Second))
 	}
--- a/internal/harness/server_conn.go
+++ b/internal/harness/server_conn.go
@@ -164,9 +164,12 @@
 		resetConn(s.conn)
 		return false
 	}
+	if c.closes {
+		header += "Connection: close\r\n"
+	}
 	_, err := fmt.Fprintf(s.conn, "HTTP/1.1 %d %s\r\n%sContent-Length: %d\r\n\r\n%s",
 		status, http.StatusText(status), header, len(body), body)
-	return err == nil && !s.overCapacity
+	return err == nil && !s.overCapacity && !c.closes
 }
 
 // peerClosed reports whether the peer has closed the connection, even if unread data is still buffered.
--- /dev/null
+++ b/internal/httpconn/conn.go
@@ -0,0 +1,82 @@
+package httpconn
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"syscall"
+	"time"
+)
+
+const (
+	// MaxHeaderBytes is the maximum size of a request line or status line including the headers.
+	MaxHeaderBytes = 16 << 10
+
+	readBufferSize = 4 << 10 // bytes
+	maxLingerBytes = 1 << 20 // bytes discarded from a connection between its half-close and its close
+)
+
+// PastDeadline is a deadline in the past, which interrupts pending reads and writes on a connection.
+var PastDeadline = time.Unix(1, 0)
+
+// A Conn is a connection with a read buffer. ReadLimit bounds the bytes read, because the HTTP parser doesn't limit the
+// size of headers.
+type Conn struct {
+	net.Conn
+	ReadLimit *io.LimitedReader
+	Reader    *bufio.Reader
+}
+
+// New returns a connection that reads from c through a buffer.
+func New(c net.Conn) *Conn {
+	limit := &io.LimitedReader{R: c}
+	return &Conn{Conn: c, ReadLimit: limit, Reader: bufio.NewReaderSize(limit, readBufferSize)}
+}
+
+// Dial opens a TCP connection. The context bounds only the dial.
+func Dial(ctx context.Context, addr string) (*Conn, error) {
+	conn, err := (&net.Dialer{KeepAlive: -1}).DialContext(ctx, "tcp", addr)
+	if err != nil {
+		return nil, err
+	}
+	return New(conn), nil
+}
+
+// OpenWithoutInput reports whether the connection is open and its socket has no unread bytes. It doesn't take the read
+// lock of the connection, so it may be called while another goroutine is blocked in Read. A connection without a file
+// descriptor can't be examined and counts as open.
+func (c *Conn) OpenWithoutInput() bool {
+	descriptor, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	raw, err := descriptor.SyscallConn()
+	if err != nil {
+		return false
+	}
+	open := false
+	err = raw.Control(func(fd uintptr) {
+		var b [1]byte
+		_, _, e := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		open = e == syscall.EAGAIN
+	})
+	return err == nil && open
+}
+
+// CloseGracefully half-closes a connection, discards its input until the deadline, and closes it. Closing a connection
+// with unread input would reset it, and the remote side would lose the unread part of a response.
+func (c *Conn) CloseGracefully(deadline time.Time) {
+	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok && half.CloseWrite() == nil {
+		c.SetReadDeadline(deadline)
+		io.CopyN(io.Discard, c.Conn, maxLingerBytes)
+	}
+	c.Close()
+}
+
+// InterruptOnDone interrupts reads and writes on a connection when the context is done. The returned function stops
+// that, and reports whether the connection was not interrupted.
+func InterruptOnDone(ctx context.Context, c *Conn) (stop func() bool) {
+	c.SetDeadline(time.Time{})
+	return context.AfterFunc(ctx, func() { c.SetDeadline(PastDeadline) })
+}
--- a/internal/lifecycle/build.go
+++ b/internal/lifecycle/build.go
@@ -30,8 +30,8 @@
 	if s.loop, err = newLoop(s.loopSetup(), pred != nil); err != nil {
 		return nil, err
 	}
-	clients, idle := socketBudget(*c)
-	s.transport = protocol.NewTransport(s.loop, c.Settings.ConnIdleTimeout, idle, p.log)
+	s.transport = protocol.NewTransport(s.loop, p.log)
+	s.transport.SetCounters(p.endpoints)
 	s.discovery = protocol.NewDiscovery(s.loop, protocol.DiscoveryConfig{
 		Addr: c.Discovery, Names: c.Names, MaxPollInterval: c.Settings.MaxPollInterval,
 		PollSpread: c.Settings.PollSpread(), DrainGrace: c.Settings.DrainGrace, Log: p.log,
@@ -41,7 +41,7 @@
 	if s.gossip != nil {
 		s.loop.ConnectGossip(s.gossip)
 	}
-	if s.listener, err = s.listen(clients); err != nil {
+	if s.listener, err = s.listen(clientConnBudget(*c)); err != nil {
 		return nil, err
 	}
 	s.listener.SetCounters(p.clients)
--- a/internal/lifecycle/limits.go
+++ b/internal/lifecycle/limits.go
@@ -22,7 +22,7 @@
 	// checks and dials.
 	reservedSockets = 64
 
-	// minSocketBudget is the minimum number of descriptors for client connections and idle endpoint connections.
+	// minSocketBudget is the minimum number of descriptors to be divided.
 	minSocketBudget = 12
 )
 
@@ -36,15 +36,14 @@
 	}
 }
 
-// socketBudget divides the descriptors that remain after the reserve and the calls in flight between client connections
-// and idle connections to endpoints. Clients get two thirds: one third for connections with a request and one for
-// connections without. Lingering connections are counted within the clients' share.
-func socketBudget(c Config) (clients, idle int) {
+// clientConnBudget returns the maximum number of client connections: two thirds of the descriptors that remain after the
+// reserve and the calls in flight, one third for connections with a request and one for connections without. Lingering
+// connections are counted within them. The last third is a margin for connections that are being closed.
+func clientConnBudget(c Config) int {
 	available := c.Limits.Sockets - reservedSockets - c.Settings.MaxInFlight
 	if c.Admin != "" {
 		available -= admin.MaxHTTPConnections
 	}
-	available = max(available, minSocketBudget)
-	clients = available * 2 / 3
-	return max(clients-protocol.MaxLingering(clients), clients/2), available / 3
+	clients := max(available, minSocketBudget) * 2 / 3
+	return max(clients-protocol.MaxLingering(clients), clients/2)
 }
--- a/internal/lifecycle/process.go
+++ b/internal/lifecycle/process.go
@@ -67,15 +67,16 @@
 
 // A process holds the state that outlives a server. After a failed hand-over, the same process builds another server.
 type process struct {
-	load     ConfigLoader
-	log      *slog.Logger
-	reload   <-chan os.Signal
-	stop     <-chan time.Time // receives the time of the first stop signal
-	machine  *stateMachine
-	board    *statusBoard
-	counters *state.Counters
-	clients  *protocol.Counters
-	ctx      context.Context // canceled when the process ends
+	load      ConfigLoader
+	log       *slog.Logger
+	reload    <-chan os.Signal
+	stop      <-chan time.Time // receives the time of the first stop signal
+	machine   *stateMachine
+	board     *statusBoard
+	counters  *state.Counters
+	clients   *protocol.Counters
+	endpoints *protocol.TransportCounters
+	ctx       context.Context // canceled when the process ends
 }
 
 func newProcess(
@@ -83,11 +84,12 @@
 ) *process {
 	p := &process{
 		load: load, log: log, reload: reload, stop: stop, machine: newStateMachine(log),
-		counters: &state.Counters{}, clients: &protocol.Counters{}, ctx: ctx,
+		counters: &state.Counters{}, clients: &protocol.Counters{},
+		endpoints: &protocol.TransportCounters{}, ctx: ctx,
 	}
 	p.board = &statusBoard{
 		stateMachine: p.machine, name: c.Name, release: c.Release, started: time.Now(),
-		counters: p.counters, clients: p.clients,
+		counters: p.counters, clients: p.clients, endpoints: p.endpoints,
 	}
 	p.publishConfig(c)
 	return p
--- a/internal/lifecycle/server.go
+++ b/internal/lifecycle/server.go
@@ -67,7 +67,7 @@
 
 	// Groups of goroutines. At a hand-over the control tasks, which communicate with the platform and the operators, end
 	// first; the delivery tasks run on until the last call in flight has ended.
-	deliveryTasks     *taskGroup    // loop, transport, listener, and the results of the predecessor's calls
+	deliveryTasks     *taskGroup    // loop, listener, and the results of the predecessor's calls
 	controlTasks      *taskGroup    // discovery, reporter, gossip, admin API; child context of deliveryTasks
 	deadLettersClosed chan struct{} // closed once the dead-letter queue has ended; closed at start if there is no queue
 	stopDeadLetters   context.CancelFunc
@@ -80,7 +80,6 @@
 		s.controlTasks.Go(s.admin.Serve)
 	}
 	s.deliveryTasks.run(s.loop.Run)
-	s.deliveryTasks.run(s.transport.Run)
 	s.controlTasks.run(s.discovery.Run)
 	s.controlTasks.run(s.reporter.Run)
 	if s.gossip != nil {
--- a/internal/lifecycle/statusboard.go
+++ b/internal/lifecycle/statusboard.go
@@ -18,13 +18,14 @@
 // A statusBoard implements admin.Lifecycle: it reports the status of a process and passes orders to its state machine.
 type statusBoard struct {
 	*stateMachine
-	name     string
-	release  string // release name given by the environment at start
-	started  time.Time
-	config   atomic.Pointer[string] // digest of the configuration in force
-	counters *state.Counters
-	clients  *protocol.Counters
-	loop     atomic.Pointer[state.Loop] // nil during the start
+	name      string
+	release   string // release name given by the environment at start
+	started   time.Time
+	config    atomic.Pointer[string] // digest of the configuration in force
+	counters  *state.Counters
+	clients   *protocol.Counters
+	endpoints *protocol.TransportCounters
+	loop      atomic.Pointer[state.Loop] // nil during the start
 }
 
 // Targets returns the targets on discovery's list. It returns nil during the start, or if the event loop does not
@@ -37,7 +38,7 @@
 }
 
 // Status returns the status of the process. It does not wait for the event loop.
-func (b *statusBoard) Status() admin.Status {
+func (b *statusBoard) Status() admin.DetailedStatus {
 	id, phase, lease := b.snapshot()
 	s := admin.Status{
 		Name: b.name, Process: id, Pid: os.Getpid(), Phase: phase.String(),
@@ -48,7 +49,7 @@
 	if digest := b.config.Load(); digest != nil {
 		s.Config = *digest
 	}
-	return s
+	return admin.DetailedStatus{Status: s, Endpoints: b.endpoints.Counts()}
 }
 
 // residentMB returns the resident memory of this process in MB, or 0 if it can't be determined.
--- a/internal/protocol/batch_test.go
+++ b/internal/protocol/batch_test.go
@@ -49,7 +49,7 @@
 // first times out alone while the others still get their results.
 func TestBatchResults(t *testing.T) {
 	recorder := newEventRecorder()
-	transport := NewTransport(recorder, time.Minute, 8, discardLog)
+	transport := NewTransport(recorder, discardLog)
 	respond := make(chan struct{})
 	addr := socktest.Serve(t, func(_ int, r *http.Request, body string) string {
 		if r.URL.Path != "/receive-many" || !strings.HasPrefix(body, "a k-a 9\r\nbody of a\r\nb k-b 9\r\n") {
@@ -85,7 +85,7 @@
 		socktest.JSON("a deliv\r\nb delivered\r\n"),
 	} {
 		recorder := newEventRecorder()
-		transport := NewTransport(recorder, time.Minute, 8, discardLog)
+		transport := NewTransport(recorder, discardLog)
 		addr := socktest.Serve(t, func(int, *http.Request, string) string { return answer })
 		transport.Send(callTo(addr, time.Minute, "a", "b"))
 		results := next[state.CallEnded](t, recorder).Results
--- a/internal/protocol/call.go
+++ b/internal/protocol/call.go
@@ -11,22 +11,22 @@
 	"time"
 
 	"cleathold/control"
+	"cleathold/internal/httpconn"
 	"cleathold/internal/state"
 )
 
-// Time limits for the remainder of a response after its first byte. servedTailTimeout applies to a 200 response to a
-// single message, of which only the status line matters.
 const (
-	responseTailTimeout = 300 * time.Millisecond
-	servedTailTimeout   = 50 * time.Millisecond
+	// callResponseTimeout limits the time to receive the response to a call from its first byte on.
+	callResponseTimeout = 300 * time.Millisecond
+
+	// retryAfterTimeout is the time for which the end of the connection is awaited after a response with Retry-After.
+	// Calls may arrive for 100 ms after such a response was written, and none afterwards.
+	retryAfterTimeout = 50 * time.Millisecond
 )
 
 // emptyKeyPlaceholder is written in a batch frame in place of the idempotency key if the message has none.
 const emptyKeyPlaceholder = "-"
 
-// errMalformedResponse is returned if a response was received but can't be parsed.
-var errMalformedResponse = errors.New("malformed response")
-
 // A callState is the state of a call in flight. It changes once, from callConnecting to one of the other states.
 type callState int32
 
@@ -55,69 +55,58 @@
 	return f.state.CompareAndSwap(int32(callConnecting), int32(next))
 }
 
-// run sends the call and waits for its response.
+// run sends the call on a connection of its own and waits for its response.
 func (f *inFlightCall) run() {
-	id := f.call.Target.ID
 	// The endpoint processes no message of the call before the last byte is written, so any earlier failure means that
 	// none was processed.
 	c, err := f.openConnection()
-	if !f.advance(callSending) {
-		if err == nil {
-			f.pool.put(id, c)
-		}
-		f.endAll(control.NotSent)
-		return
+	unsent := !f.advance(callSending)
+	if err == nil {
+		defer c.Close()
 	}
-	if err != nil {
+	switch {
+	case unsent:
+		f.endAll(control.NotSent)
+	case err != nil:
 		f.endAll(control.ConnectFailed)
-		return
-	}
-	if !f.dropEnded() {
-		f.pool.put(id, c)
-		return
+	case f.dropEnded():
+		f.transmit(c)
 	}
-	f.transmit(c)
 }
 
-// transmit sends the call on an open connection and waits for its response.
-func (f *inFlightCall) transmit(c *bufferedConn) {
-	stop := interruptOnDone(f.ctx, c)
-	if !f.writeRequest(c) {
+// transmit sends the call on an open connection and waits for its response. It closes the connection before it posts
+// the results: they may trigger the next call to this endpoint, which should find the connection's capacity free.
+func (f *inFlightCall) transmit(c *httpconn.Conn) {
+	stop := httpconn.InterruptOnDone(f.ctx, c)
+	defer stop()
+	early := !c.OpenWithoutInput()
+	if early {
+		f.counters.earlyInput.Add(1)
+	}
+	if early || !f.writeRequest(c) {
 		result := f.resultBeforeSent(c)
-		stop()
 		c.Close()
 		f.endEach(func(*state.Attempt) (state.AttemptResult, bool) { return result, true })
 		return
 	}
-	r, err := f.readResponse(c)
-	// Return the connection before posting the results: the results may trigger the next call to this endpoint, which
-	// should find the connection idle and the capacity free.
-	c.SetReadDeadline(time.Time{})
-	if stop() && err == nil && !r.closes {
-		f.pool.put(f.call.Target.ID, c)
-	} else {
-		c.Close()
-	}
-	f.endAnswered(r, err)
+	x := f.readExchange(c)
+	c.Close()
+	f.endExchange(c.LocalAddr().String(), x)
 }
 
-// openConnection returns an idle connection from the pool, or dials a new one. Attempts whose send deadline passes
-// while it dials end with control.ConnectFailed; the remaining attempts continue to wait.
-func (f *inFlightCall) openConnection() (*bufferedConn, error) {
-	target := f.call.Target
+// openConnection dials a connection. Attempts whose send deadline passes meanwhile end with control.ConnectFailed; the
+// remaining attempts continue to wait.
+func (f *inFlightCall) openConnection() (*httpconn.Conn, error) {
 	defer f.endOverdue(control.ConnectFailed, sendDeadline) // no attempt may be sent after its send deadline
-	if c := f.pool.get(target.ID, target.Addr); c != nil {
-		return c, nil
-	}
 	ctx, cancel := context.WithDeadline(f.ctx, f.call.ConnectBy)
 	defer cancel()
 	type dialResult struct {
-		c   *bufferedConn
+		c   *httpconn.Conn
 		err error
 	}
 	dialed := make(chan dialResult, 1)
 	go func() {
-		c, err := f.dial(ctx, target.Addr)
+		c, err := f.dial(ctx, f.call.Target.Addr)
 		dialed <- dialResult{c, err}
 	}()
 	for {
@@ -149,7 +138,7 @@
 // writeRequest writes the request and reports whether its last byte was written. From then on the endpoint may have
 // processed the call. If the send deadline of any attempt passes during the write, the whole call fails, because a
 // single attempt can't be removed from a partly written request.
-func (f *inFlightCall) writeRequest(c *bufferedConn) bool {
+func (f *inFlightCall) writeRequest(c *httpconn.Conn) bool {
 	head, body := f.encodeRequest()
 	next, _ := f.nextDeadline(sendDeadline)
 	c.SetWriteDeadline(next)
@@ -178,7 +167,7 @@
 	}
 	deadline, _ := f.ctx.Deadline()
 	h.WriteString("X-Deadline: " + formatSeconds(time.Until(deadline)) + "\r\n")
-	h.WriteString("Content-Length: " + strconv.Itoa(len(body)) + "\r\n\r\n")
+	h.WriteString("Connection: close\r\nContent-Length: " + strconv.Itoa(len(body)) + "\r\n\r\n")
 	return h.Bytes(), body
 }
 
@@ -197,40 +186,32 @@
 	return b.Bytes()
 }
 
-// readResponse reads the response to a call whose request was written completely.
-func (f *inFlightCall) readResponse(c *bufferedConn) (response, error) {
-	c.readLimit.N = maxHeaderBytes
-	if err := f.awaitFirstByte(c); err != nil {
-		return response{closes: true}, err
-	}
-	startedAt := time.Now()
-	r, err := c.readResponse(http.MethodPost, state.MaxBody, func(firstStatus int) time.Time {
-		if f.statusSuffices(firstStatus) {
-			return startedAt.Add(servedTailTimeout)
-		}
-		return startedAt.Add(responseTailTimeout)
+// readExchange reads the responses to a call whose request was written completely, until the endpoint closes the
+// connection.
+func (f *inFlightCall) readExchange(c *httpconn.Conn) httpconn.Exchange {
+	return c.ReadExchange(httpconn.ReadOptions{
+		Method: http.MethodPost, MaxBody: state.MaxBody, ResponseTimeout: callResponseTimeout,
+		Await: func(received []httpconn.Response) error { return f.awaitByte(c, received) },
 	})
-	if err != nil && f.ctx.Err() == nil {
-		err = errMalformedResponse
-	}
-	return r, err
 }
 
-// statusSuffices reports whether the status line alone determines the result of the call.
-func (f *inFlightCall) statusSuffices(firstStatus int) bool {
-	return firstStatus == http.StatusOK && len(f.attempts) == 1
-}
-
-// awaitFirstByte waits for the first byte of the response. Attempts whose deadline passes before that end with
-// control.TimedOut; the remaining attempts of the call continue to wait.
-func (f *inFlightCall) awaitFirstByte(c *bufferedConn) error {
+// awaitByte waits for the first byte of a response or the end of the connection. Attempts whose deadline passes before
+// that end with control.TimedOut; the remaining attempts of the call continue to wait.
+func (f *inFlightCall) awaitByte(c *httpconn.Conn, received []httpconn.Response) error {
+	var settleBy time.Time // zero: no limit
+	if maxRetryAfter(received) > 0 {
+		settleBy = time.Now().Add(retryAfterTimeout)
+	}
 	for {
-		next, _ := f.nextDeadline(responseDeadline)
+		next, limited := f.nextDeadline(responseDeadline)
+		if !settleBy.IsZero() && (!limited || settleBy.Before(next)) {
+			next = settleBy
+		}
 		c.SetReadDeadline(next)
 		if f.ctx.Err() != nil { // the context may have ended before SetReadDeadline, which then overrode the interrupt
 			return f.ctx.Err()
 		}
-		_, err := c.reader.Peek(1)
+		_, err := c.Reader.Peek(1)
 		if !errors.Is(err, os.ErrDeadlineExceeded) {
 			c.SetReadDeadline(time.Time{})
 			return err
@@ -239,6 +220,9 @@
 			return f.ctx.Err()
 		}
 		f.endOverdue(control.TimedOut, responseDeadline)
+		if !settleBy.IsZero() && !time.Now().Before(settleBy) {
+			return err
+		}
 	}
 }
 
--- a/internal/protocol/clientconn.go
+++ b/internal/protocol/clientconn.go
@@ -6,6 +6,8 @@
 	"net"
 	"os"
 	"time"
+
+	"cleathold/internal/httpconn"
 )
 
 const (
@@ -39,7 +41,7 @@
 
 // A clientConn is a connection accepted from a client.
 type clientConn struct {
-	*bufferedConn
+	*httpconn.Conn
 
 	// Guarded by the listener's mutex.
 	state           connState
@@ -54,7 +56,7 @@
 }
 
 func newClientConn(conn net.Conn) *clientConn {
-	return &clientConn{bufferedConn: newBufferedConn(conn), waitingSince: time.Now()}
+	return &clientConn{Conn: httpconn.New(conn), waitingSince: time.Now()}
 }
 
 // setState moves a connection to a state and sets the deadline that applies in it. The caller must hold the listener's
@@ -78,7 +80,7 @@
 			l.usedConns++
 		}
 	case connEvicted:
-		c.SetReadDeadline(pastDeadline)
+		c.SetReadDeadline(httpconn.PastDeadline)
 	case connLingering:
 		delete(l.conns, c)
 		if c.used {
@@ -170,12 +172,12 @@
 // the wait by setting the read deadline; a request that arrives at the same time is still answered, as the last one.
 func (l *Listener) awaitRequest(c *clientConn) bool {
 	l.enterWaiting(c)
-	c.readLimit.N = maxHeaderBytes
-	_, err := c.reader.Peek(1)
-	if errors.Is(err, os.ErrDeadlineExceeded) && !c.openWithoutInput() {
+	c.ReadLimit.N = httpconn.MaxHeaderBytes
+	_, err := c.Reader.Peek(1)
+	if errors.Is(err, os.ErrDeadlineExceeded) && !c.OpenWithoutInput() {
 		c.lastRequest = true
 		c.SetReadDeadline(time.Now().Add(closeGrace))
-		_, err = c.reader.Peek(1)
+		_, err = c.Reader.Peek(1)
 	}
 	return err == nil
 }
@@ -190,11 +192,11 @@
 	case l.lingerSlots <- struct{}{}:
 		<-l.servingSlots
 		l.lingering.Go(func() {
-			c.closeGracefully(time.Now().Add(lingerTimeout))
+			c.CloseGracefully(time.Now().Add(lingerTimeout))
 			<-l.lingerSlots
 		})
 	default:
-		c.closeGracefully(time.Now().Add(shortLingerTimeout))
+		c.CloseGracefully(time.Now().Add(shortLingerTimeout))
 		<-l.servingSlots
 	}
 }
--- a/internal/protocol/connclose_test.go
+++ b/internal/protocol/connclose_test.go
@@ -127,7 +127,7 @@
 		t.Fatal(err)
 	}
 	s := stalledDiscovery{entered: make(chan struct{}), resume: make(chan struct{})}
-	loop.Connect(NewTransport(loop, time.Minute, 8, discardLog), s, s)
+	loop.Connect(NewTransport(loop, discardLog), s, s)
 	ctx, cancel := context.WithCancel(t.Context())
 	ended := make(chan struct{})
 	go func() { defer close(ended); loop.Run(ctx) }()
--- a/internal/protocol/discovery.go
+++ b/internal/protocol/discovery.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"cleathold/control"
+	"cleathold/internal/httpconn"
 	"cleathold/internal/state"
 )
 
@@ -120,12 +121,13 @@
 // Run polls as requested until the context is done. A watch polls again after each response until a poll fails. The
 // controller then decides when to poll again.
 func (d *Discovery) Run(ctx context.Context) {
-	client := &httpClient{pacing: readPacing{maxGap: maxResponseGap, maxDuration: d.maxResponseTime()}}
-	defer client.close()
+	client := &httpClient{
+		pacing: readPacing{maxGap: maxResponseGap, maxDuration: d.maxResponseTime()}, dial: httpconn.Dial,
+	}
 	var current pollRequest
 	for d.nextPoll(ctx, &current) {
 		pollCtx, cancel, addr := d.beginPoll(ctx)
-		client.setAddress(addr)
+		client.addr = addr
 		startedAt := time.Now()
 		openTimer := d.reportPollOpen(current)
 		update, err := d.poll(pollCtx, client, current)
--- a/internal/protocol/handler.go
+++ b/internal/protocol/handler.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"time"
 
+	"cleathold/internal/httpconn"
 	"cleathold/internal/state"
 )
 
@@ -18,7 +19,7 @@
 
 // serveRequest reads one request and responds to it. It reports whether the connection may be used for another request.
 func (l *Listener) serveRequest(c *clientConn) bool {
-	r, err := readRequest(c.reader)
+	r, err := readRequest(c.Reader)
 	arrived := time.Now()
 	if err != nil {
 		rejected := c.requestErrorOf(err)
@@ -28,7 +29,7 @@
 		}
 		return l.respondError(c, rejected, true)
 	}
-	c.readLimit.N = state.MaxBody + maxHeaderBytes // leaves room for the overhead of chunked encoding
+	c.ReadLimit.N = state.MaxBody + httpconn.MaxHeaderBytes // leaves room for the overhead of chunked encoding
 	if r.Header.Get("Expect") != "" && r.ContentLength <= state.MaxBody {
 		io.WriteString(c, "HTTP/1.1 100 Continue\r\n\r\n")
 	}
@@ -55,7 +56,7 @@
 	switch {
 	case errors.As(err, &rejected):
 		return rejected
-	case c.readLimit.N <= 0:
+	case c.ReadLimit.N <= 0:
 		return &requestError{http.StatusRequestHeaderFieldsTooLarge, "head too large", true}
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return &requestError{http.StatusRequestTimeout, "request not whole in time", true}
--- a/internal/protocol/hedge_test.go
+++ b/internal/protocol/hedge_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"cleathold/control"
+	"cleathold/internal/httpconn"
 	"cleathold/internal/socktest"
 	"cleathold/internal/state"
 )
@@ -41,7 +42,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	transport := NewTransport(l, time.Minute, 8, discardLog)
+	transport := NewTransport(l, discardLog)
 	l.Connect(transport, silentServices{}, silentServices{})
 	for i, id := range []string{"repeatable", "unrepeatable"} {
 		m := &state.Message{ID: id, Class: i, Destination: 7, Deadline: time.Now().Add(time.Minute), Body: []byte("b")}
@@ -63,11 +64,11 @@
 // sends the ID of each repeated message to repeated, and whether its first copy was still in flight.
 func serveRepeatsOnly(t *testing.T, repeated chan<- string) (addr string) {
 	var mu sync.Mutex
-	first := map[string]*bufferedConn{} // connection of the first copy, by message ID
+	first := map[string]*httpconn.Conn{} // connection of the first copy, by message ID
 	return socktest.Accept(t, func(_ int, conn *net.TCPConn) {
-		c := newBufferedConn(conn)
-		c.readLimit.N = 1 << 20
-		r, err := http.ReadRequest(c.reader)
+		c := httpconn.New(conn)
+		c.ReadLimit.N = 1 << 20
+		r, err := http.ReadRequest(c.Reader)
 		if err != nil {
 			return
 		}
@@ -82,7 +83,7 @@
 			switch before := first[id]; {
 			case before == nil:
 				first[id] = c // no response
-			case before.openWithoutInput():
+			case before.OpenWithoutInput():
 				repeated <- id + " while its first copy was in flight"
 			default:
 				repeated <- id
--- a/internal/protocol/httpclient.go
+++ b/internal/protocol/httpclient.go
@@ -10,16 +10,18 @@
 	"strconv"
 	"syscall"
 	"time"
+
+	"cleathold/internal/httpconn"
 )
 
 // maxListBytes is the maximum size of a response body. The endpoint list of discovery is the largest response.
 const maxListBytes = 4 << 20
 
-// An httpClient sends requests to one address, one at a time, over a persistent connection.
+// An httpClient sends requests to one address, each on a connection of its own.
 type httpClient struct {
 	addr   string
-	conn   *bufferedConn
 	pacing readPacing // limits for reading a response; if zero, only the request's deadline applies
+	dial   func(ctx context.Context, addr string) (*httpconn.Conn, error)
 }
 
 // A readPacing limits the time for reading a response from its first byte on, independently of the request's deadline.
@@ -28,43 +30,41 @@
 	maxDuration time.Duration // maximum time for the whole response
 }
 
-// An exchange is the part of a response that was received.
+// errEarlyInput is returned for a connection on which the server sent bytes, or which it closed, before the request.
+var errEarlyInput = errors.New("input or close before the request")
+
+// An exchange is what a server sent for a request.
 type exchange struct {
-	status    int
-	body      []byte
-	startedAt time.Time // when the first byte of the response arrived; zero if none did
+	status    int    // of the response to the request; 0 if it has none that is known to belong to it
+	body      []byte // of that response
+	received  []httpconn.Response
+	startedAt time.Time // when the first byte of a response arrived; zero if none did
 }
 
-// do sends a request and reads its response, both by the deadline. It never sends a request twice. If it returns an
-// error, the exchange holds the part of the response that was received.
+// do sends a request and reads its response, both by the deadline. It never sends a request twice. The error is a
+// httpconn.DoubtError if the request was sent and no response is known to belong to it; the exchange then holds what was
+// received. Any other error means that the request was not sent completely.
 func (h *httpClient) do(ctx context.Context, method, path string, body []byte, deadline time.Time) (exchange, error) {
 	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
-	if h.conn != nil && h.conn.stale() {
-		h.close()
+	c, err := h.dial(ctx, h.addr)
+	if err != nil {
+		return exchange{}, err
 	}
-	if h.conn == nil {
-		c, err := dial(ctx, h.addr)
-		if err != nil {
-			return exchange{}, err
-		}
-		h.conn = c
+	defer c.Close()
+	defer httpconn.InterruptOnDone(ctx, c)()
+	if !c.OpenWithoutInput() {
+		return exchange{}, errEarlyInput
 	}
-	defer interruptOnDone(ctx, h.conn)()
-	if _, err := h.conn.Write(h.encodeRequest(method, path, body)); err != nil {
-		h.close()
+	if _, err := c.Write(h.encodeRequest(method, path, body)); err != nil {
 		return exchange{}, err
 	}
-	e, closes, err := h.readResponse(ctx, method)
-	if err != nil || closes {
-		h.close()
-	}
-	return e, err
+	return h.readExchange(ctx, c, method)
 }
 
 func (h *httpClient) encodeRequest(method, path string, body []byte) []byte {
 	var out bytes.Buffer
-	out.WriteString(method + " " + path + " HTTP/1.1\r\nHost: " + h.addr + "\r\n")
+	out.WriteString(method + " " + path + " HTTP/1.1\r\nHost: " + h.addr + "\r\nConnection: close\r\n")
 	if method != http.MethodGet {
 		out.WriteString("Content-Length: " + strconv.Itoa(len(body)) + "\r\n")
 	}
@@ -73,38 +73,25 @@
 	return out.Bytes()
 }
 
-// readResponse reads the response to a request that was sent. closes reports whether the connection must be closed.
-func (h *httpClient) readResponse(ctx context.Context, method string) (e exchange, closes bool, err error) {
-	c := h.conn
-	c.readLimit.N = maxHeaderBytes + maxListBytes
-	if _, err := c.reader.Peek(1); err != nil {
-		return exchange{}, true, err
-	}
-	e.startedAt = time.Now()
-	if h.pacing.maxGap > 0 {
-		c.readLimit.R = &pacedReader{
-			ctx: ctx, conn: c.Conn, maxGap: h.pacing.maxGap, deadline: e.startedAt.Add(h.pacing.maxDuration),
+// readExchange reads the response to a request that was sent.
+func (h *httpClient) readExchange(ctx context.Context, c *httpconn.Conn, method string) (exchange, error) {
+	options := httpconn.ReadOptions{Method: method, MaxBody: maxListBytes}
+	options.Await = func([]httpconn.Response) error {
+		_, err := c.Reader.Peek(1)
+		if err == nil && h.pacing.maxGap > 0 && c.ReadLimit.R == c.Conn {
+			c.ReadLimit.R = &pacedReader{
+				ctx: ctx, conn: c.Conn, maxGap: h.pacing.maxGap, deadline: time.Now().Add(h.pacing.maxDuration),
+			}
 		}
-		defer func() { c.readLimit.R = c.Conn }()
+		return err
 	}
-	r, err := c.readResponse(method, maxListBytes, nil)
-	e.status, e.body = r.status, r.body
-	return e, r.closes, err
-}
-
-// setAddress sets the address for the following requests. If it differs from the current one, the connection is closed.
-func (h *httpClient) setAddress(addr string) {
-	if h.addr != addr {
-		h.close()
-		h.addr = addr
-	}
-}
-
-func (h *httpClient) close() {
-	if h.conn != nil {
-		h.conn.Close()
-		h.conn = nil
+	x := c.ReadExchange(options)
+	e := exchange{startedAt: x.StartedAt, received: x.Received()}
+	if doubt := x.Doubt(httpconn.Equal); doubt != httpconn.NoDoubt {
+		return e, &httpconn.DoubtError{Doubt: doubt, Cause: x.Err}
 	}
+	e.status, e.body = x.Responses[0].Status, x.Responses[0].Body
+	return e, nil
 }
 
 // A pacedReader reads from a connection within the limits of a readPacing until its context is done.
--- a/internal/protocol/lateconn_test.go
+++ b/internal/protocol/lateconn_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"cleathold/control"
+	"cleathold/internal/httpconn"
 	"cleathold/internal/socktest"
 	"cleathold/internal/state"
 )
@@ -36,7 +37,7 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			recorder := newEventRecorder()
-			transport := NewTransport(recorder, time.Minute, 8, discardLog)
+			transport := NewTransport(recorder, discardLog)
 			got := make(chan string, 1)
 			addr := serveBatches(t, got)
 			up := make(chan struct{})
@@ -113,9 +114,9 @@
 }
 
 // dialWhenUp returns a dial function that returns the connection only once the channel up is closed.
-func dialWhenUp(up <-chan struct{}) func(context.Context, string) (*bufferedConn, error) {
-	return func(ctx context.Context, addr string) (*bufferedConn, error) {
-		c, err := dial(context.Background(), addr)
+func dialWhenUp(up <-chan struct{}) func(context.Context, string) (*httpconn.Conn, error) {
+	return func(ctx context.Context, addr string) (*httpconn.Conn, error) {
+		c, err := httpconn.Dial(context.Background(), addr)
 		select {
 		case <-up:
 			return c, err
@@ -127,22 +128,23 @@
 }
 
 // TestLateConnectionWithoutAttempts checks that a connection established after all attempts of its call have ended
-// carries no request and is kept for the next call.
+// carries no request and is closed.
 func TestLateConnectionWithoutAttempts(t *testing.T) {
 	recorder := newEventRecorder()
-	transport := NewTransport(recorder, time.Minute, 8, discardLog)
-	addr := socktest.Serve(t, func(_ int, r *http.Request, _ string) string {
-		t.Errorf("%s was sent", r.Header.Get("X-Request-Id"))
-		return socktest.Status(200)
+	transport := NewTransport(recorder, discardLog)
+	received := make(chan []byte, 1)
+	addr := socktest.Accept(t, func(_ int, conn *net.TCPConn) {
+		b, _ := io.ReadAll(conn)
+		received <- b
 	})
 	call := callTo(addr, 0, "a") // its deadline has passed already, which can only happen in a call with further attempts
 	f := &inFlightCall{Transport: transport, call: call, ended: make([]bool, 1), attempts: call.Attempts}
 	f.ctx, f.cancel = context.WithDeadline(t.Context(), time.Now().Add(time.Minute))
 	defer f.cancel()
 	up, runDone := make(chan struct{}), make(chan struct{})
-	transport.dial = func(_ context.Context, addr string) (*bufferedConn, error) {
+	transport.dial = func(_ context.Context, addr string) (*httpconn.Conn, error) {
 		<-up
-		return dial(context.Background(), addr)
+		return httpconn.Dial(context.Background(), addr)
 	}
 	go func() { defer close(runDone); f.run() }()
 	if e := next[state.CallEnded](t, recorder).Results[0]; e.Result != control.ConnectFailed {
@@ -150,8 +152,8 @@
 	}
 	close(up)
 	<-runDone
-	if transport.pool.popIdle("s") == nil {
-		t.Error("the connection was not kept")
+	if b := <-received; len(b) > 0 {
+		t.Errorf("%q was sent", b)
 	}
 }
 
@@ -159,10 +161,10 @@
 // as a whole, as not processed.
 func TestStalledWrite(t *testing.T) {
 	recorder := newEventRecorder()
-	transport := NewTransport(recorder, time.Minute, 8, discardLog)
+	transport := NewTransport(recorder, discardLog)
 	clientSide, serverSide := net.Pipe() // unbuffered: a write blocks until its bytes are read
 	defer serverSide.Close()
-	transport.dial = func(context.Context, string) (*bufferedConn, error) { return newBufferedConn(clientSide), nil }
+	transport.dial = func(context.Context, string) (*httpconn.Conn, error) { return httpconn.New(clientSide), nil }
 	call := callTo("nowhere", time.Minute, "a", "b")
 	call.Attempts[1].Deadline = time.Now().Add(50 * time.Millisecond)
 	transport.Send(call)
@@ -192,7 +194,7 @@
 		{"nothing", "", state.AttemptResult{Result: control.ConnectFailed}},
 	} {
 		recorder := newEventRecorder()
-		transport := NewTransport(recorder, time.Minute, 8, discardLog)
+		transport := NewTransport(recorder, discardLog)
 		sock, err := net.Listen("tcp", "127.0.0.1:0")
 		if err != nil {
 			t.Fatal(err)
@@ -208,8 +210,8 @@
 			io.WriteString(conn, c.answer)
 			conn.Close() // with unread input, which resets the connection
 		}()
-		transport.dial = func(ctx context.Context, addr string) (*bufferedConn, error) {
-			l, err := dial(ctx, addr)
+		transport.dial = func(ctx context.Context, addr string) (*httpconn.Conn, error) {
+			l, err := httpconn.Dial(ctx, addr)
 			if err == nil {
 				l.Conn.(*net.TCPConn).SetWriteBuffer(1 << 10)
 			}
@@ -229,23 +231,20 @@
 	}
 }
 
-// TestTruncatedResponse checks that a response truncated at any byte ends each message of the call once. A 200 response
-// to a single message counts from its complete status line on; any other response must be complete.
+// TestTruncatedResponse checks that a response truncated at any byte ends each message of the call once, and that only a
+// complete one counts: a part of one may belong to another request.
 func TestTruncatedResponse(t *testing.T) {
 	for _, c := range []struct {
-		ids      []string
-		answer   string
-		complete int // number of bytes from which on the messages count as delivered
+		ids    []string
+		answer string
 	}{
-		{[]string{"a"}, "HTTP/1.1 200 OK\r\nX-Load: x0=0.4\r\nContent-Length: 2\r\n\r\nok", len("HTTP/1.1 200 OK\r\n")},
-		{[]string{"a"}, "HTTP/1.1 103 x\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok",
-			len("HTTP/1.1 103 x\r\n\r\nHTTP/1.1 200 OK\r\n")},
-		{[]string{"a", "b"}, socktest.JSON("a delivered\r\nb delivered\r\n"),
-			len(socktest.JSON("a delivered\r\nb delivered\r\n"))},
+		{[]string{"a"}, "HTTP/1.1 200 OK\r\nX-Load: x0=0.4\r\nContent-Length: 2\r\n\r\nok"},
+		{[]string{"a"}, "HTTP/1.1 103 x\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"},
+		{[]string{"a", "b"}, socktest.JSON("a delivered\r\nb delivered\r\n")},
 	} {
 		for n := range len(c.answer) + 1 {
 			recorder := newEventRecorder()
-			transport := NewTransport(recorder, time.Minute, 8, discardLog)
+			transport := NewTransport(recorder, discardLog)
 			sock, err := net.Listen("tcp", "127.0.0.1:0")
 			if err != nil {
 				t.Fatal(err)
@@ -267,7 +266,7 @@
 			switch {
 			case n == 0:
 				want = control.ConnectionLost
-			case n >= c.complete:
+			case n == len(c.answer):
 				want = control.Served
 			}
 			if len(results) != len(c.ids) || results[0].Result != want || results[len(results)-1].Result != want {
--- a/internal/protocol/listener.go
+++ b/internal/protocol/listener.go
@@ -186,7 +186,7 @@
 			return
 		}
 		oldest.evictionChecked = true
-		if oldest.openWithoutInput() {
+		if oldest.OpenWithoutInput() {
 			l.counters.evicted.Add(1)
 			l.setState(oldest, connEvicted)
 			return
--- a/internal/protocol/poll.go
+++ b/internal/protocol/poll.go
@@ -94,9 +94,9 @@
 	return min(pollTimeout, d.DrainGrace/2)
 }
 
-// poll sends a request and parses the response. The error is a brokenResponseError if the response is incomplete or
-// malformed, errNoResponse if there was no response by the deadline, and errConnectionEnded if an open connection ended
-// before the response.
+// poll sends a request and parses the response. The error is a brokenResponseError if what discovery sent is incomplete,
+// malformed or not known to belong to the request, errNoResponse if there was no response by the deadline, and
+// errConnectionEnded if an open connection ended before the response.
 func (d *Discovery) poll(ctx context.Context, client *httpClient, r pollRequest) (state.ListUpdate, error) {
 	path, deadline := listPath, time.Now().Add(pollTimeout)
 	if !r.fullList() {
@@ -117,8 +117,8 @@
 			return state.ListUpdate{}, &brokenResponseError{e.startedAt, e.body, err}
 		}
 		return update, nil
-	case !e.startedAt.IsZero() && (r.fullList() || !isUnchanged(e.body, r.since)):
-		return state.ListUpdate{}, &brokenResponseError{e.startedAt, e.body, err}
+	case !e.startedAt.IsZero() && (r.fullList() || !e.repeatsVersion(r.since)):
+		return state.ListUpdate{}, &brokenResponseError{e.startedAt, e.bodies(), err}
 	case !time.Now().Before(deadline) || !e.startedAt.IsZero():
 		return state.ListUpdate{}, fmt.Errorf("%w: %w", errNoResponse, err)
 	case errors.Is(err, io.EOF) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE):
@@ -126,3 +126,18 @@
 	}
 	return state.ListUpdate{}, err
 }
+
+// repeatsVersion reports whether discovery sent a single response whose received part contains no change after the
+// version. A second response may contain one.
+func (e exchange) repeatsVersion(version int64) bool {
+	return len(e.received) == 1 && isUnchanged(e.received[0].Body, version)
+}
+
+// bodies returns the received bodies of all responses, one after another.
+func (e exchange) bodies() []byte {
+	var all []byte
+	for _, r := range e.received {
+		all = append(all, r.Body...)
+	}
+	return all
+}
--- a/internal/protocol/reporter.go
+++ b/internal/protocol/reporter.go
@@ -3,24 +3,27 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"log/slog"
+	"net"
 	"net/http"
 	"sync"
 	"time"
 
 	"cleathold/control"
+	"cleathold/internal/httpconn"
 	"cleathold/internal/state"
 )
 
 // A delivery report is due 300 ms after the deadline of its message. The timeouts and the backoff must be short enough
 // for that.
 const (
-	reportPath        = "/status"
-	reportTimeout     = 500 * time.Millisecond // for a request with reports, including the connect
-	reusedConnTimeout = 130 * time.Millisecond // for a request on a reused connection, which may be dead
-	maxReportBatch    = 256                    // maximum number of reports in one request
-	minReportBackoff  = 10 * time.Millisecond  // backoff after a failure, doubled up to maxReportBackoff
-	maxReportBackoff  = 40 * time.Millisecond
+	reportPath       = "/status"
+	minReportTimeout = 130 * time.Millisecond // for a request with reports, including the connect; doubled after a timeout
+	maxReportTimeout = 520 * time.Millisecond
+	maxReportBatch   = 256                   // maximum number of reports in one request
+	minReportBackoff = 10 * time.Millisecond // backoff after a failure, doubled up to maxReportBackoff
+	maxReportBackoff = 40 * time.Millisecond
 )
 
 // Reporter sends delivery reports to the platform in order, and repeats each one until it is acknowledged. The message
@@ -77,15 +80,24 @@
 	r.events.Post(state.ReportsAcknowledged{Numbers: numbers})
 }
 
+// reportPacing holds the limits for the next request with reports, which depend on the requests before.
+type reportPacing struct {
+	timeout  time.Duration
+	backoff  time.Duration
+	maxBatch int
+}
+
+// initialReportPacing is the pacing after a request that succeeded.
+var initialReportPacing = reportPacing{timeout: minReportTimeout, backoff: minReportBackoff, maxBatch: maxReportBatch}
+
 // Run sends queued reports until the context is done.
 func (r *Reporter) Run(ctx context.Context) {
-	client := &httpClient{}
-	defer client.close()
-	backoff, limit := minReportBackoff, maxReportBatch
+	client := &httpClient{dial: httpconn.Dial}
+	pacing := initialReportPacing
 	for ctx.Err() == nil {
 		batch, addr := r.nextBatch()
-		client.setAddress(addr)
-		batch = batch[:min(len(batch), limit)]
+		client.addr = addr
+		batch = batch[:min(len(batch), pacing.maxBatch)]
 		if len(batch) == 0 {
 			select {
 			case <-ctx.Done():
@@ -94,37 +106,36 @@
 			}
 			continue
 		}
-		reused := client.conn != nil
-		e, err := client.do(ctx, http.MethodPost, reportPath, encodeReports(batch), time.Now().Add(client.reportTimeout()))
-		switch {
-		case err == nil && e.status == http.StatusNoContent:
-			r.acknowledge(len(batch))
-			backoff, limit = minReportBackoff, maxReportBatch
-			continue
-		case err == nil && e.status == http.StatusBadRequest && len(batch) == 1:
-			// Repeating a report that the platform can't parse would never succeed, and would block all later reports.
-			r.log.Error("delivery report rejected as malformed by the platform, dropping it", "message", batch[0].ID)
-			r.acknowledge(1)
-			continue
-		case err == nil && e.status == http.StatusBadRequest:
-			limit = 1 // send reports one by one to find the malformed one
-			continue
-		}
-		r.log.Warn("delivery reports not acknowledged", "count", len(batch), "status", e.status, "err", err)
-		if reused && err != nil {
-			continue // retry immediately on a new connection
-		}
-		sleepUntil(ctx, time.Now().Add(backoff))
-		backoff = min(2*backoff, maxReportBackoff)
+		r.send(ctx, client, batch, &pacing)
 	}
 }
 
-// reportTimeout returns the timeout of a request with reports, which is shorter on a reused connection.
-func (h *httpClient) reportTimeout() time.Duration {
-	if h.conn != nil {
-		return reusedConnTimeout
+// send sends a batch of reports once. It removes those that the platform has acknowledged from the queue, and updates
+// the pacing.
+func (r *Reporter) send(ctx context.Context, client *httpClient, batch []state.DeliveryReport, pacing *reportPacing) {
+	deadline := time.Now().Add(pacing.timeout)
+	e, err := client.do(ctx, http.MethodPost, reportPath, encodeReports(batch), deadline)
+	switch {
+	case err == nil && e.status == http.StatusNoContent:
+		r.acknowledge(len(batch))
+		*pacing = initialReportPacing
+		return
+	case err == nil && e.status == http.StatusBadRequest && len(batch) == 1:
+		// Repeating a report that the platform can't parse would never succeed, and would block all later reports.
+		r.log.Error("delivery report rejected as malformed by the platform, dropping it", "message", batch[0].ID)
+		r.acknowledge(1)
+		return
+	case err == nil && e.status == http.StatusBadRequest:
+		pacing.maxBatch = 1 // send reports one by one to find the malformed one
+		return
+	}
+	r.log.Warn("delivery reports not acknowledged", "count", len(batch), "status", e.status, "err", err)
+	if timeout := net.Error(nil); errors.As(err, &timeout) && timeout.Timeout() {
+		pacing.timeout = min(2*pacing.timeout, maxReportTimeout)
+		return // repeat at once: the connection may be unresponsive
 	}
-	return reportTimeout
+	sleepUntil(ctx, time.Now().Add(pacing.backoff))
+	pacing.backoff = min(2*pacing.backoff, maxReportBackoff)
 }
 
 // encodeReports encodes reports as one JSON object per line.
--- a/internal/protocol/reporter_test.go
+++ b/internal/protocol/reporter_test.go
@@ -12,13 +12,13 @@
 	"cleathold/internal/state"
 )
 
-// TestReportOnUnresponsiveConnection checks that a report sent on an unresponsive connection is repeated on a new one
+// TestReportOnUnresponsiveConnection checks that a report sent on an unresponsive connection is repeated on another one
 // in time: it is due 300 ms after the deadline of its message.
 func TestReportOnUnresponsiveConnection(t *testing.T) {
 	received := make(chan int, 8)
 	addr := socktest.Serve(t, func(conn int, _ *http.Request, _ string) string {
 		received <- conn
-		if conn == 0 && len(received) > 1 {
+		if conn == 1 {
 			return socktest.Hang
 		}
 		return socktest.Status(204)
@@ -34,7 +34,7 @@
 	if took := time.Since(startedAt); took > 300*time.Millisecond {
 		t.Errorf("acknowledged after %v", took)
 	}
-	if a, b, c := <-received, <-received, <-received; a != 0 || b != 0 || c != 1 {
+	if a, b, c := <-received, <-received, <-received; a != 0 || b != 1 || c != 2 {
 		t.Errorf("received on connections %d, %d, %d", a, b, c)
 	}
 }
--- a/internal/protocol/request.go
+++ b/internal/protocol/request.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"cleathold/control"
+	"cleathold/internal/httpconn"
 	"cleathold/internal/state"
 )
 
@@ -92,8 +93,8 @@
 	if r.ContentLength > state.MaxBody {
 		return nil, bodyTooLarge()
 	}
-	body, err := readBody(r.Body, state.MaxBody)
-	if errors.Is(err, errTooLong) {
+	body, err := httpconn.ReadBody(r.Body, state.MaxBody)
+	if errors.Is(err, httpconn.ErrTooLong) {
 		return nil, bodyTooLarge()
 	}
 	if err != nil {
--- a/internal/protocol/transport.go
+++ b/internal/protocol/transport.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"cleathold/control"
+	"cleathold/internal/httpconn"
 	"cleathold/internal/state"
 )
 
@@ -19,14 +20,15 @@
 // EventPoster is the interface for posting events. The event loop implements it.
 type EventPoster interface{ Post(event state.Event) }
 
-// Transport sends calls and health checks to endpoints, each on its own goroutine, and posts their results as events.
+// Transport sends calls and health checks to endpoints, each on its own goroutine and on a connection of its own, and
+// posts their results as events.
 // Its methods are safe for concurrent use.
 type Transport struct {
 	events           EventPoster
 	log              *slog.Logger
-	pool             *connPool
+	counters         *TransportCounters
 	healthCheckSlots chan struct{} // holds a token for each health check in progress
-	dial             func(ctx context.Context, addr string) (*bufferedConn, error)
+	dial             func(ctx context.Context, addr string) (*httpconn.Conn, error)
 
 	mu       sync.Mutex
 	inFlight map[*state.Call]*inFlightCall
@@ -34,17 +36,25 @@
 
 var _ state.Transport = (*Transport)(nil)
 
-// NewTransport returns a transport that keeps up to maxIdleConns idle connections for reuse. idleTimeout is the time
-// after which endpoints close an idle connection.
-func NewTransport(events EventPoster, idleTimeout time.Duration, maxIdleConns int, log *slog.Logger) *Transport {
-	return &Transport{
-		events: events, log: log, pool: newConnPool(idleTimeout, maxIdleConns), dial: dial,
+// NewTransport returns a transport.
+func NewTransport(events EventPoster, log *slog.Logger) *Transport {
+	t := &Transport{
+		events: events, log: log, counters: &TransportCounters{},
 		healthCheckSlots: make(chan struct{}, maxHealthChecks), inFlight: map[*state.Call]*inFlightCall{},
 	}
+	t.dial = t.dialCounted
+	return t
 }
 
-// Run closes idle connections before their endpoints close them. It returns when the context is done.
-func (t *Transport) Run(ctx context.Context) { t.pool.run(ctx) }
+// SetCounters sets the counters, which may be shared by several transports. It must be called before the first call.
+func (t *Transport) SetCounters(c *TransportCounters) { t.counters = c }
+
+// dialCounted opens a connection and counts it.
+func (t *Transport) dialCounted(ctx context.Context, addr string) (*httpconn.Conn, error) {
+	c, err := httpconn.Dial(ctx, addr)
+	t.counters.countDial(err)
+	return c, err
+}
 
 // Send sends a call and posts state.CallEnded for its attempts. Attempts of one call may end at different times and
 // are then reported in separate events. The controller limits the number of calls in flight.
@@ -90,9 +100,6 @@
 	}
 }
 
-// Disconnect closes the idle connections to an endpoint.
-func (t *Transport) Disconnect(endpoint string) { t.pool.closeIdle(endpoint) }
-
 // HealthCheck sends a health check to an endpoint and posts state.HealthChecked with the result by the deadline. The
 // result is control.Unknown if maxHealthChecks are already in progress.
 func (t *Transport) HealthCheck(target state.Target, deadline time.Time) {
@@ -112,30 +119,18 @@
 }
 
 func (t *Transport) checkHealth(target state.Target, deadline time.Time) control.Result {
-	ctx, cancel := context.WithDeadline(context.Background(), deadline)
-	defer cancel()
-	c, err := t.connect(ctx, target)
-	if err != nil {
+	client := httpClient{addr: target.Addr, dial: t.dial}
+	e, err := client.do(context.Background(), http.MethodGet, "/ping", nil, deadline)
+	var doubt *httpconn.DoubtError
+	switch {
+	case err == nil:
+		return resultOfStatus(e.status)
+	case !errors.As(err, &doubt):
 		return control.ConnectFailed
 	}
-	h := httpClient{addr: target.Addr, conn: c}
-	e, err := h.do(ctx, http.MethodGet, "/ping", nil, deadline)
-	switch {
-	case errors.Is(err, os.ErrDeadlineExceeded):
+	t.counters.doubtful[doubt.Doubt].Add(1)
+	if errors.Is(err, os.ErrDeadlineExceeded) {
 		return control.TimedOut
-	case err != nil:
-		return control.ConnectionLost
-	}
-	if h.conn != nil {
-		t.pool.put(target.ID, h.conn)
-	}
-	return resultOfStatus(e.status)
-}
-
-// connect returns an idle connection to the target from the pool, or dials a new one.
-func (t *Transport) connect(ctx context.Context, target state.Target) (*bufferedConn, error) {
-	if c := t.pool.get(target.ID, target.Addr); c != nil {
-		return c, nil
 	}
-	return t.dial(ctx, target.Addr)
+	return control.ConnectionLost
 }
--- a/internal/protocol/transport_test.go
+++ b/internal/protocol/transport_test.go
@@ -12,106 +12,101 @@
 	"time"
 
 	"cleathold/control"
+	"cleathold/internal/httpconn"
 	"cleathold/internal/socktest"
 	"cleathold/internal/state"
 )
 
 // TestResetUnderCall checks that a call whose connection is reset ends with ConnectionLost, however many bytes of it
-// the endpoint has read, on new and on reused connections: all bytes were sent, so the call may have been processed.
+// the endpoint has read: all bytes were sent, so the call may have been processed.
 func TestResetUnderCall(t *testing.T) {
 	f := &inFlightCall{call: callTo("127.0.0.1:99999", time.Minute, "a", "b")}
 	f.attempts = f.call.Attempts
 	f.ctx = t.Context()
 	head, body := f.encodeRequest()
-	for _, reused := range []bool{false, true} {
-		for _, n := range []int{1, len(head), len(head) + 1, len(head) + len(body) - 1, len(head) + len(body)} {
-			recorder := newEventRecorder()
-			transport := NewTransport(recorder, time.Minute, 8, discardLog)
-			addr := socktest.Accept(t, func(_ int, conn *net.TCPConn) {
-				in := bufio.NewReader(conn)
-				if reused {
-					receive(in)
-					io.WriteString(conn, socktest.Status(500))
-				}
-				io.ReadFull(in, make([]byte, n))
-				reset(conn)
-			})
-			if reused {
-				transport.Send(callTo(addr, time.Minute, "first"))
-				if e := next[state.CallEnded](t, recorder).Results[0]; e.Result != control.Failed {
-					t.Fatalf("%+v", e)
-				}
-			}
-			transport.Send(callTo(addr, time.Minute, "a", "b"))
-			results := next[state.CallEnded](t, recorder).Results
-			if len(results) != 2 || results[0].Result != control.ConnectionLost || results[1].Result != control.ConnectionLost {
-				t.Errorf("reused %t, reset after %d bytes: %+v", reused, n, results)
-			}
+	for _, n := range []int{1, len(head), len(head) + 1, len(head) + len(body) - 1, len(head) + len(body)} {
+		recorder := newEventRecorder()
+		transport := NewTransport(recorder, discardLog)
+		addr := socktest.Accept(t, func(_ int, conn *net.TCPConn) {
+			io.ReadFull(conn, make([]byte, n))
+			reset(conn)
+		})
+		transport.Send(callTo(addr, time.Minute, "a", "b"))
+		results := next[state.CallEnded](t, recorder).Results
+		if len(results) != 2 || results[0].Result != control.ConnectionLost || results[1].Result != control.ConnectionLost {
+			t.Errorf("reset after %d bytes: %+v", n, results)
 		}
 	}
 }
 
-// TestClosedAfterStaleCheck checks a call on an idle connection that the endpoint closes between the staleness check
-// and the write. If the request was written, the call may have been processed. If no byte could be sent, it was not
-// processed and may be sent again.
-func TestClosedAfterStaleCheck(t *testing.T) {
+// TestInputBeforeRequest checks that nothing is sent on a connection that the endpoint has closed, or on which it has
+// sent bytes, before the request. The call was not processed then; a Retry-After must still be honored.
+func TestInputBeforeRequest(t *testing.T) {
 	for _, c := range []struct {
-		name string
-		end  func(*net.TCPConn)
-		want control.Result
+		name  string
+		begin func(*net.TCPConn)
+		want  state.AttemptResult
 	}{
-		{"closed", func(conn *net.TCPConn) { conn.Close() }, control.ConnectionLost},
-		{"half-closed", func(conn *net.TCPConn) { conn.CloseWrite() }, control.ConnectionLost},
-		{"reset", reset, control.ConnectFailed},
+		{"closed", func(conn *net.TCPConn) { conn.Close() }, state.AttemptResult{Result: control.ConnectFailed}},
+		{"half-closed", func(conn *net.TCPConn) { conn.CloseWrite() }, state.AttemptResult{Result: control.ConnectFailed}},
+		{"reset", reset, state.AttemptResult{Result: control.ConnectFailed}},
+		{"200", func(conn *net.TCPConn) { io.WriteString(conn, socktest.Status(200)) },
+			state.AttemptResult{Result: control.ConnectFailed}},
+		{"half a line", func(conn *net.TCPConn) { io.WriteString(conn, "HTTP/1.1 2") },
+			state.AttemptResult{Result: control.ConnectFailed}},
+		{"429", func(conn *net.TCPConn) { io.WriteString(conn, socktest.Status(429, "Retry-After: 2")) },
+			state.AttemptResult{Result: control.Rejected, RetryAfter: 2 * time.Second}},
+		{"no room", func(conn *net.TCPConn) { io.WriteString(conn, socktest.Status(503, "Connection: close")) },
+			state.AttemptResult{Result: control.ConnectionRejected}},
 	} {
 		recorder := newEventRecorder()
-		transport := NewTransport(recorder, time.Minute, 8, discardLog)
-		conns := make(chan *net.TCPConn, 4)
+		transport := NewTransport(recorder, discardLog)
+		received, dialed := make(chan []byte, 1), make(chan struct{})
 		addr := socktest.Accept(t, func(_ int, conn *net.TCPConn) {
-			in := bufio.NewReader(conn)
-			conns <- conn
-			receive(in)
-			io.WriteString(conn, socktest.Status(200))
+			<-dialed
+			c.begin(conn)
+			b, _ := io.ReadAll(conn)
+			received <- b
 		})
-		transport.Send(callTo(addr, time.Minute, "first"))
-		if e := next[state.CallEnded](t, recorder).Results[0]; e.Result != control.Served {
-			t.Fatalf("%+v", e)
-		}
-		call := callTo(addr, time.Minute, "a")
-		f := &inFlightCall{Transport: transport, call: call, ended: make([]bool, 1), attempts: call.Attempts}
-		f.ctx, f.cancel = context.WithDeadline(t.Context(), time.Now().Add(time.Minute))
-		defer f.cancel()
-		conn, err := f.openConnection() // includes the staleness check
-		if err != nil || len(conns) != 1 {
-			t.Fatalf("%s: %v, %d connections", c.name, err, len(conns))
+		transport.dial = func(ctx context.Context, addr string) (*httpconn.Conn, error) {
+			conn, err := httpconn.Dial(ctx, addr)
+			close(dialed)
+			for err == nil && conn.OpenWithoutInput() {
+				time.Sleep(time.Millisecond)
+			}
+			return conn, err
 		}
-		c.end(<-conns)
-		for conn.openWithoutInput() { // wait until the close has arrived
-			time.Sleep(time.Millisecond)
+		transport.Send(callTo(addr, time.Minute, "a"))
+		e := next[state.CallEnded](t, recorder).Results[0]
+		e.Elapsed, e.Attempt = 0, nil
+		if e != c.want {
+			t.Errorf("%s: %+v, want %+v", c.name, e, c.want)
 		}
-		f.transmit(conn)
-		if e := next[state.CallEnded](t, recorder).Results[0]; e.Result != c.want {
-			t.Errorf("%s: %+v, want %v", c.name, e, c.want)
+		if b := <-received; len(b) > 0 {
+			t.Errorf("%s: %q was sent", c.name, b)
 		}
-		if transport.pool.popIdle("s") != nil {
-			t.Errorf("%s: the connection was kept", c.name)
+		if n := transport.counters.Counts().EarlyInput; n != 1 {
+			t.Errorf("%s: counted %d times", c.name, n)
 		}
 	}
 }
 
-// TestUnsolicitedResponse checks that bytes after a response are not parsed as the response to the next call, which
-// uses another connection.
+// TestUnsolicitedResponse checks that bytes after a response leave it unattributable unless they are a second copy, and
+// that they are not parsed as the response to the next call.
 func TestUnsolicitedResponse(t *testing.T) {
-	for _, stray := range []string{socktest.Status(200), "HTTP/1.1 2", "\r\n"} {
+	for stray, first := range map[string]control.Result{
+		socktest.Status(200): control.Served, socktest.Status(503): control.Failed, "HTTP/1.1 2": control.Failed,
+		"\r\n": control.Failed,
+	} {
 		recorder := newEventRecorder()
-		transport := NewTransport(recorder, time.Minute, 8, discardLog)
+		transport := NewTransport(recorder, discardLog)
 		addr := socktest.Serve(t, func(conn int, _ *http.Request, _ string) string {
 			if conn == 0 {
 				return socktest.Status(200) + stray
 			}
 			return socktest.Status(500)
 		})
-		for _, want := range []control.Result{control.Served, control.Failed} {
+		for _, want := range []control.Result{first, control.Failed} {
 			transport.Send(callTo(addr, time.Minute, "a"))
 			if e := next[state.CallEnded](t, recorder).Results[0]; e.Result != want {
 				t.Errorf("%q: %+v, want %v", stray, e, want)
@@ -120,18 +115,45 @@
 	}
 }
 
+// TestResponseWithoutClose checks that a response proves nothing while the endpoint keeps the connection open: a call
+// with a 200 times out, and one with a Retry-After ends at once, as the wait has begun.
+func TestResponseWithoutClose(t *testing.T) {
+	for _, c := range []struct {
+		answer string
+		limit  time.Duration
+		want   state.AttemptResult
+	}{
+		{socktest.Status(200), 100 * time.Millisecond, state.AttemptResult{Result: control.TimedOut}},
+		{socktest.Status(503), 100 * time.Millisecond, state.AttemptResult{Result: control.TimedOut}},
+		{socktest.Status(429, "Retry-After: 2"), time.Minute,
+			state.AttemptResult{Result: control.Failed, RetryAfter: 2 * time.Second}},
+	} {
+		recorder := newEventRecorder()
+		transport := NewTransport(recorder, discardLog)
+		addr := socktest.Accept(t, func(_ int, conn *net.TCPConn) {
+			receive(bufio.NewReader(conn))
+			io.WriteString(conn, c.answer)
+			io.Copy(io.Discard, conn)
+		})
+		transport.Send(callTo(addr, c.limit, "a"))
+		e := next[state.CallEnded](t, recorder).Results[0]
+		e.Elapsed, e.SentAt, e.Attempt = 0, time.Time{}, nil
+		if e != c.want {
+			t.Errorf("%q: %+v, want %+v", c.answer, e, c.want)
+		}
+	}
+}
+
 // TestCancelDuringResponse checks that a call canceled at about the time of its response ends exactly once: as canceled
 // if canceled before the response, with the result of the response if canceled after it, and with either if both happen
-// at the same time. The connection of a call with a response is reused for the next one.
+// at the same time.
 func TestCancelDuringResponse(t *testing.T) {
 	recorder := &cancelOnEnd{eventRecorder: newEventRecorder()}
-	transport := NewTransport(recorder, time.Minute, 8, discardLog)
+	transport := NewTransport(recorder, discardLog)
 	recorder.transport = transport
 	var call *state.Call
 	when := ""
-	conns := make(chan int, 8)
-	addr := socktest.Serve(t, func(conn int, _ *http.Request, _ string) string {
-		conns <- conn
+	addr := socktest.Serve(t, func(int, *http.Request, string) string {
 		switch when {
 		case "before":
 			transport.Cancel(call)
@@ -142,24 +164,20 @@
 		return socktest.Status(200)
 	})
 	for _, c := range []struct {
-		when   string
-		want   []control.Result
-		reused bool // the call reuses the previous connection
+		when string
+		want []control.Result
 	}{
-		{"after", []control.Result{control.Served}, false},
-		{"after", []control.Result{control.Served}, true},
-		{"before", []control.Result{control.Canceled}, true},
-		{"after", []control.Result{control.Served}, false},
-		{"between", []control.Result{control.Canceled, control.Served}, true},
+		{"after", []control.Result{control.Served}},
+		{"before", []control.Result{control.Canceled}},
+		{"after", []control.Result{control.Served}},
+		{"between", []control.Result{control.Canceled, control.Served}},
 	} {
 		call, when = callTo(addr, time.Minute, "a"), c.when
-		last := transport.pool.idleCount
 		transport.Send(call)
 		results := next[state.CallEnded](t, recorder.eventRecorder).Results
-		if len(results) != 1 || !slices.Contains(c.want, results[0].Result) || c.reused != (last == 1) {
-			t.Errorf("%s: %+v, want one of %v; %d connections kept before", c.when, results, c.want, last)
+		if len(results) != 1 || !slices.Contains(c.want, results[0].Result) {
+			t.Errorf("%s: %+v, want one of %v", c.when, results, c.want)
 		}
-		<-conns
 		transport.waitUntilIdle() // no further event can be posted after this
 		if len(recorder.events) > 0 {
 			t.Errorf("%s: ended again: %+v", c.when, <-recorder.events)
@@ -178,8 +196,8 @@
 	{"wait", socktest.Status(429, "Retry-After: 0.25"), time.Minute,
 		state.AttemptResult{Result: control.Rejected, RetryAfter: 250 * time.Millisecond}},
 	{"full", socktest.Status(503), time.Minute, state.AttemptResult{Result: control.Rejected}},
-	{"no room for connections", socktest.Status(503, "Connection: close"), time.Minute,
-		state.AttemptResult{Result: control.ConnectionRejected}},
+	{"closes, as requested", socktest.Status(503, "Connection: close"), time.Minute,
+		state.AttemptResult{Result: control.Rejected}},
 	{"shut", socktest.Status(503, "Connection: close", "Retry-After: 4"), time.Minute,
 		state.AttemptResult{Result: control.Rejected, RetryAfter: 4 * time.Second}},
 	{"no slot", socktest.Status(503, "X-Over-Slots: 1"), time.Minute,
@@ -190,21 +208,36 @@
 	{"not for it", socktest.Status(400), time.Minute, state.AttemptResult{Result: control.Unprocessable}},
 	{"no HTTP", "what?\r\n\r\n", time.Minute, state.AttemptResult{Result: control.Failed}},
 	{"noise without end", "what?", time.Minute, state.AttemptResult{Result: control.Failed}},
-	{"head without end", "HTTP/1.1 503 x\r\nA: " + strings.Repeat("x", 2*maxHeaderBytes+state.MaxBody), time.Minute,
+	{"head without end", "HTTP/1.1 503 x\r\nA: " + strings.Repeat("x", 2*httpconn.MaxHeaderBytes+state.MaxBody), time.Minute,
 		state.AttemptResult{Result: control.Failed}},
 	{"head left off", "HTTP/1.1 503 x\r\nRetry-After: 1\r\n", time.Minute, state.AttemptResult{Result: control.Failed}},
 	{"body left off", "HTTP/1.1 503 x\r\nContent-Length: 3000000000\r\n\r\nx", time.Minute,
 		state.AttemptResult{Result: control.Failed}},
-	{"served, then noise", "HTTP/1.1 200 x\r\nwhat\r\n\r\n", time.Minute,
-		state.AttemptResult{Result: control.Served, Final: true}},
-	{"served, head left off", "HTTP/1.1 103 x\r\n\r\nHTTP/1.1 200 x\r\nA: b", time.Minute,
-		state.AttemptResult{Result: control.Served, Final: true}},
-	{"served, body left off", "HTTP/1.1 200 x\r\nContent-Length: 9\r\n\r\nx", time.Minute,
+	{"200, then noise", "HTTP/1.1 200 x\r\nwhat\r\n\r\n", time.Minute, state.AttemptResult{Result: control.Failed}},
+	{"200, head left off", "HTTP/1.1 103 x\r\n\r\nHTTP/1.1 200 x\r\nA: b", time.Minute,
+		state.AttemptResult{Result: control.Failed}},
+	{"200, body left off", "HTTP/1.1 200 x\r\nContent-Length: 9\r\n\r\nx", time.Minute,
+		state.AttemptResult{Result: control.Failed}},
+	{"200, body ends with the connection", "HTTP/1.1 200 x\r\n\r\nHTTP/1.1 503 x\r\n\r\n", time.Minute,
+		state.AttemptResult{Result: control.Failed}},
+	{"200 in the head of another response", "HTTP/1.1 200 x\r\nA: " + socktest.Status(503), time.Minute,
+		state.AttemptResult{Result: control.Failed}},
+	{"200 twice", socktest.Status(200) + socktest.Status(200), time.Minute,
 		state.AttemptResult{Result: control.Served, Final: true}},
+	{"503 and 429", socktest.Status(503) + socktest.Status(429, "Retry-After: 3"), time.Minute,
+		state.AttemptResult{Result: control.Rejected, RetryAfter: 3 * time.Second}},
+	{"200 and 503", socktest.Status(200) + socktest.Status(503), time.Minute,
+		state.AttemptResult{Result: control.Failed}},
+	{"429 and 200", socktest.Status(429, "Retry-After: 3") + socktest.Status(200), time.Minute,
+		state.AttemptResult{Result: control.Failed, RetryAfter: 3 * time.Second}},
+	{"410 and 504", socktest.Status(410) + socktest.Status(504), time.Minute,
+		state.AttemptResult{Result: control.Failed}},
+	{"200 without end", strings.Repeat(socktest.Status(200), 1000), time.Minute,
+		state.AttemptResult{Result: control.Failed}},
 	{"no such status", "HTTP/1.1 2000 x\r\n\r\n", time.Minute, state.AttemptResult{Result: control.Failed}},
 	{"news first", "HTTP/1.1 103 x\r\n\r\n" + socktest.Status(500), time.Minute,
 		state.AttemptResult{Result: control.Failed}},
-	{"news without end", strings.Repeat("HTTP/1.1 103 x\r\n\r\n", maxHeaderBytes+state.MaxBody), time.Minute,
+	{"news without end", strings.Repeat("HTTP/1.1 103 x\r\n\r\n", httpconn.MaxHeaderBytes+state.MaxBody), time.Minute,
 		state.AttemptResult{Result: control.Failed}},
 	{"reset", "", time.Minute, state.AttemptResult{Result: control.ConnectionLost}},
 	{"hang", "hang", 500 * time.Millisecond, state.AttemptResult{Result: control.TimedOut}},
@@ -216,7 +249,7 @@
 func TestAttemptOutcomes(t *testing.T) {
 	for _, c := range attemptOutcomes {
 		recorder := newEventRecorder()
-		transport := NewTransport(recorder, time.Minute, 8, discardLog)
+		transport := NewTransport(recorder, discardLog)
 		got := make(chan struct{}, 1)
 		addr := socktest.Serve(t, func(_ int, r *http.Request, body string) string {
 			if r.URL.Path != "/receive" || r.Header.Get("X-Request-Id") != "a" || r.Header.Get("Idempotency-Key") != "k-a" ||
@@ -250,7 +283,7 @@
 // call that was sent.
 func TestCancelUnsent(t *testing.T) {
 	recorder := newEventRecorder()
-	transport := NewTransport(recorder, time.Minute, 8, discardLog)
+	transport := NewTransport(recorder, discardLog)
 	got, respond := make(chan string, 2), make(chan struct{})
 	addr := socktest.Serve(t, func(_ int, r *http.Request, _ string) string {
 		got <- r.Header.Get("X-Request-Id")
@@ -276,28 +309,34 @@
 	}
 }
 
-// TestConnectionReuse checks that a connection is reused unless the endpoint has closed it, in which case a request
-// would be lost.
-func TestConnectionReuse(t *testing.T) {
+// TestConnectionPerCall checks that each call and each health check uses a connection of its own, and asks the endpoint
+// to close it.
+func TestConnectionPerCall(t *testing.T) {
 	recorder := newEventRecorder()
-	transport := NewTransport(recorder, time.Minute, 8, discardLog)
+	transport := NewTransport(recorder, discardLog)
 	conns := make(chan int, 8)
-	addr := socktest.Serve(t, func(conn int, _ *http.Request, _ string) string {
+	addr := socktest.Serve(t, func(conn int, r *http.Request, _ string) string {
+		if !r.Close {
+			t.Errorf("%s %s does not ask for the close", r.Method, r.URL)
+		}
 		conns <- conn
 		return socktest.Status(200)
 	})
-	call := func() int {
-		transport.Send(callTo(addr, time.Minute, "a"))
-		if e := next[state.CallEnded](t, recorder).Results[0]; e.Result != control.Served {
-			t.Fatalf("%+v", e)
+	for i := range 4 {
+		if i%2 == 0 {
+			transport.Send(callTo(addr, time.Minute, "a"))
+			next[state.CallEnded](t, recorder)
+		} else {
+			transport.HealthCheck(state.Target{ID: "s", Addr: addr}, time.Now().Add(time.Minute))
+			if e := next[state.HealthChecked](t, recorder); e.Result != control.Served {
+				t.Errorf("%+v", e)
+			}
+		}
+		if conn := <-conns; conn != i {
+			t.Errorf("request %d used connection %d", i, conn)
 		}
-		return <-conns
 	}
-	a, b := call(), call() // a connection is returned to the pool before the end of its call is posted
-	conn := transport.pool.popIdle("s")
-	conn.Conn.(*net.TCPConn).CloseRead() // has the same effect on reads as a close by the endpoint
-	transport.pool.put("s", conn)
-	if c := call(); a != b || b == c {
-		t.Errorf("connections %d %d %d, want the first twice and then another", a, b, c)
+	if counts := transport.counters.Counts(); counts.Opened != 4 || len(counts.Doubtful) > 0 {
+		t.Errorf("%+v", counts)
 	}
 }
--- a/internal/quorum/transport.go
+++ b/internal/quorum/transport.go
@@ -15,6 +15,8 @@
 	"go.etcd.io/raft/v3"
 	pb "go.etcd.io/raft/v3/raftpb"
 	"google.golang.org/protobuf/proto"
+
+	"cleathold/internal/httpconn"
 )
 
 // nameHeader carries the name of the sending agent.
@@ -52,7 +54,7 @@
 func newTransport(from, addr string) *transport {
 	return &transport{
 		url: "http://" + addr + Path, from: from, queue: make(chan *pb.Message, maxQueued),
-		http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: time.Second}},
+		http: httpconn.NewClient(),
 	}
 }
 
@@ -90,7 +92,6 @@
 
 // run sends queued messages until the context ends, and reports on their delivery where raft requires it.
 func (t *transport) run(ctx context.Context, deliveries chan<- delivery) {
-	defer t.http.CloseIdleConnections()
 	for {
 		batch := t.nextBatch(ctx)
 		if len(batch) == 0 {
@@ -166,7 +167,6 @@
 		return err
 	}
 	defer response.Body.Close()
-	io.Copy(io.Discard, io.LimitReader(response.Body, 1<<12)) // allows reuse of the connection
 	if response.StatusCode != http.StatusOK {
 		return errors.New(response.Status)
 	}
--- a/internal/simulation/call.go
+++ b/internal/simulation/call.go
@@ -20,7 +20,6 @@
 	target        state.Target
 	id            uint64
 	delay         time.Duration // of the network, one way
-	newConnection bool          // it is the first call on its connection
 	overCapacity  bool          // its connection exceeds the endpoint's connection limit
 	sent          bool          // the first byte was sent
 	done          bool          // the sender no longer waits for the result
@@ -28,8 +27,7 @@
 	startedAt     time.Duration
 }
 
-// Send starts a call on an idle connection or on a new one. Send, Cancel, CancelUnsent, HealthCheck and Disconnect
-// implement state.Transport.
+// Send starts a call on a connection of its own. Send, Cancel, CancelUnsent and HealthCheck implement state.Transport.
 func (sd *sender) Send(c *state.Call) {
 	f := sd.startCall(c.Target)
 	f.call, f.endedAttempts = c, map[*state.Attempt]bool{}
@@ -73,21 +71,13 @@
 	}
 }
 
-// Disconnect closes the idle connections to an endpoint.
-func (sd *sender) Disconnect(endpoint string) {
-	for range sd.idleConns[endpoint] {
-		sd.sim.environment.Model.Disconnect(sd.sim.now, endpoint)
-	}
-	delete(sd.idleConns, endpoint)
-}
-
 // callsOf returns a sender's calls in the order in which they started. The iteration order of the map must not decide,
 // since it differs from run to run.
 func (s *Sim) callsOf(sd *sender) []*inFlightCall {
 	return slices.SortedFunc(maps.Keys(sd.inFlight), func(a, b *inFlightCall) int { return cmp.Compare(a.id, b.id) })
 }
 
-// startCall starts a call on the most recently used idle connection, or on a new one if none is idle.
+// startCall starts a call on a new connection.
 func (sd *sender) startCall(target state.Target) *inFlightCall {
 	s := sd.sim
 	s.lastCall++
@@ -95,17 +85,6 @@
 		sender: sd, target: target, id: s.lastCall, delay: NetworkDelay(target.Zone, sd.zone), startedAt: s.now,
 	}
 	sd.inFlight[f] = true
-	idle := sd.idleConns[target.ID]
-	for len(idle) > 0 && s.now-idle[0] >= idleConnTimeout { // the endpoint has closed these
-		s.environment.Model.Disconnect(s.now, target.ID)
-		idle = idle[1:]
-	}
-	if n := len(idle); n > 0 {
-		sd.idleConns[target.ID] = idle[:n-1]
-		s.at(s.now, f.send)
-		return f
-	}
-	sd.idleConns[target.ID] = idle
 	f.connect()
 	return f
 }
@@ -113,7 +92,6 @@
 // connect opens a connection and sends on it.
 func (f *inFlightCall) connect() {
 	sd, s := f.sender, f.sender.sim
-	f.newConnection = true
 	s.result.Connections++
 	if request, reply := f.links(); !request.Passes() || !reply.Passes() {
 		after := f.delay
@@ -167,7 +145,7 @@
 func (f *inFlightCall) send() {
 	s := f.sender.sim
 	if f.done {
-		f.releaseConn()
+		f.closeConn()
 		return
 	}
 	request, reply := f.links()
@@ -178,7 +156,7 @@
 	}
 	f.sent = true
 	c := partner.Call{
-		ID: f.id, Sender: f.sender.num, Endpoint: f.target.ID, NewConnection: f.newConnection, OverCapacity: f.overCapacity,
+		ID: f.id, Sender: f.sender.num, Endpoint: f.target.ID, NewConnection: true, OverCapacity: f.overCapacity,
 		HealthCheck: f.call == nil,
 	}
 	var ids []string
@@ -203,15 +181,10 @@
 	})
 }
 
-// releaseConn adds the call's connection to the idle ones. It closes the connection if the process has ended.
-func (f *inFlightCall) releaseConn() {
-	sd, s := f.sender, f.sender.sim
-	switch {
-	case f.overCapacity:
-	case sd.dead:
+// closeConn closes the call's connection after its response. The endpoint does not count one over capacity.
+func (f *inFlightCall) closeConn() {
+	if s := f.sender.sim; !f.overCapacity {
 		s.environment.Model.Disconnect(s.now, f.target.ID)
-	default:
-		sd.idleConns[f.target.ID] = append(sd.idleConns[f.target.ID], s.now)
 	}
 }
 
@@ -239,7 +212,7 @@
 		return // the answer does not arrive
 	}
 	if a.Kind != partner.Reset && !f.done {
-		f.releaseConn()
+		f.closeConn()
 	}
 	result := attemptResult(a)
 	if after := s.extraDelay(reply); after > 0 {
--- a/internal/simulation/faults.go
+++ b/internal/simulation/faults.go
@@ -2,9 +2,7 @@
 
 import (
 	"errors"
-	"maps"
 	"os"
-	"slices"
 	"time"
 
 	"cleathold/control"
@@ -116,11 +114,6 @@
 		}
 		f.end(state.AttemptResult{Result: control.ConnectionLost})
 	}
-	for _, id := range slices.Sorted(maps.Keys(sd.idleConns)) {
-		if s.cutBetween(sd.name, id) {
-			sd.Disconnect(id)
-		}
-	}
 	reachable := sd.reachesDiscovery()
 	if reachable == sd.unreachable {
 		sd.unreachable = !reachable
--- a/internal/simulation/sender.go
+++ b/internal/simulation/sender.go
@@ -2,8 +2,6 @@
 
 import (
 	"fmt"
-	"maps"
-	"slices"
 	"time"
 
 	"cleathold/control"
@@ -22,7 +20,6 @@
 	zone        int
 	loop        *state.Loop
 	submissions []pendingSubmission
-	idleConns   map[string][]time.Duration // by endpoint: since when each connection is idle, the oldest first
 	byCall      map[*state.Call]*inFlightCall
 	inFlight    map[*inFlightCall]bool // calls and health checks
 	timerAt     time.Duration          // time at which the loop's timer elapses; below 0: not set
@@ -55,7 +52,7 @@
 		return nil, err
 	}
 	sd := &sender{
-		sim: s, num: num, name: scenario.Sender(num), zone: settings.Zone, idleConns: map[string][]time.Duration{},
+		sim: s, num: num, name: scenario.Sender(num), zone: settings.Zone,
 		byCall: map[*state.Call]*inFlightCall{}, inFlight: map[*inFlightCall]bool{}, timerAt: -1, accepting: true,
 		process: fmt.Sprintf("n%d-%d", num, s.senderStarts), version: "v1",
 	}
@@ -234,9 +231,6 @@
 	}
 	sd.inFlight, sd.byCall = nil, nil
 	sd.loop.Close()
-	for _, id := range slices.Sorted(maps.Keys(sd.idleConns)) {
-		sd.Disconnect(id)
-	}
 	s.at(s.now+restartDelay+startupDelay, sd.restart)
 }
 
--- a/internal/socktest/socktest.go
+++ b/internal/socktest/socktest.go
@@ -21,7 +21,8 @@
 
 // Serve starts a server that listens until the test ends, and returns its address. It calls answer for each request,
 // with the number of the connection, counted from 0, and the body of the request, and sends the returned text as the
-// response. An empty text closes the connection, and Hang leaves it open without a response.
+// response. It closes the connection after the response if the request asks for it. An empty text closes the connection,
+// and Hang leaves it open without a response.
 func Serve(t testing.TB, answer func(conn int, r *http.Request, body string) string) string {
 	t.Helper()
 	return Accept(t, func(n int, c *net.TCPConn) {
@@ -37,8 +38,13 @@
 				c.Close()
 				return
 			}
-			if text != Hang {
-				io.WriteString(c, text)
+			if text == Hang {
+				continue
+			}
+			io.WriteString(c, text)
+			if r.Close {
+				c.Close()
+				return
 			}
 		}
 	})
--- a/internal/state/actions.go
+++ b/internal/state/actions.go
@@ -92,12 +92,8 @@
 	}
 }
 
-// Disconnect closes the idle connections to an endpoint.
-func (a *actions) Disconnect(to control.EndpointID) {
-	if t := a.group.ByNumber(to); t != nil {
-		a.transport.Disconnect(t.ID)
-	}
-}
+// Disconnect does nothing: the transport keeps no idle connections.
+func (a *actions) Disconnect(control.EndpointID) {}
 
 // WatchEndpoints starts or stops watching discovery for changes of the endpoint list.
 func (a *actions) WatchEndpoints(on bool) { a.discovery.Watch(on, a.group.Version()) }
--- a/internal/state/bench_test.go
+++ b/internal/state/bench_test.go
@@ -61,7 +61,6 @@
 func (t *transportStub) Cancel(*Call)                  {}
 func (t *transportStub) CancelUnsent(*Call)            {}
 func (t *transportStub) HealthCheck(Target, time.Time) {}
-func (t *transportStub) Disconnect(string)             {}
 func (t *transportStub) Watch(bool, int64)             {}
 func (t *transportStub) Fetch()                        {}
 func (t *transportStub) Report(DeliveryReport)         {}
--- a/internal/state/helpers_test.go
+++ b/internal/state/helpers_test.go
@@ -39,8 +39,6 @@
 
 func (o *environment) HealthCheck(Target, time.Time) {}
 
-func (o *environment) Disconnect(string) {}
-
 func (o *environment) Watch(bool, int64) {}
 
 func (o *environment) Fetch() {}
--- a/internal/state/interfaces.go
+++ b/internal/state/interfaces.go
@@ -7,7 +7,7 @@
 	"cleathold/internal/gossip"
 )
 
-// Transport carries calls to endpoints. None of its methods may block. It posts the result of each attempt to the loop
+// Transport carries calls to endpoints, each on a connection of its own. None of its methods may block. It posts the result of each attempt to the loop
 // exactly once (CallEnded), and the result of each health check (HealthChecked).
 type Transport interface {
 	Send(c *Call)
@@ -15,7 +15,6 @@
 	// CancelUnsent ends a call as not sent if its first byte has not been written yet.
 	CancelUnsent(c *Call)
 	HealthCheck(t Target, deadline time.Time)
-	Disconnect(target string)
 }
 
 // Discovery polls the discovery service. It posts ListUpdate, ListUnreadable, PollOpen and PollFailed.
