Tell a lack of connections from a limit by the next rejection in large fleets

Change: the transport reports control.RejectedUnexplained for a rejection without Retry-After; in a large fleet the controller takes the first in a row for a lack of room (backoff of that endpoint), the next for a limit or an outage. TestUnexplainedRejection fails without it.

--- a/control/connections.go
+++ b/control/connections.go
@@ -100,6 +100,19 @@
 	b.rejections = min(b.rejections+1, maxCapacityDoublings)
 }
 
+// explainRejection replaces RejectedUnexplained by the more likely cause. A limit or an outage rejects the next call,
+// too. In a large fleet the first rejection in a row counts as a lack of capacity for the connection, since one that
+// was mistaken for a limit would lower the rate of the whole fleet.
+func (c *Controller) explainRejection(endpoint *endpoint, result Result) Result {
+	switch {
+	case result != RejectedUnexplained:
+		return result
+	case c.settings.usesFleetRate() && endpoint.connectBackoff.rejections == 0:
+		return ConnectionRejected
+	}
+	return Rejected
+}
+
 // recordConnection updates the connection statistics by the result of an attempt.
 func (c *Controller) recordConnection(a *attempt, result Result) {
 	c.connections.recordReuse(a.idleBand, result)
--- a/control/connections_test.go
+++ b/control/connections_test.go
@@ -151,6 +151,33 @@
 	}
 }
 
+// An endpoint that rejects a call without a cause may have no capacity for the connection, or be at its limit. The first
+// rejection leaves the rate of the fleet as it is; the next one in a row lowers it.
+func TestUnexplainedRejection(t *testing.T) {
+	for _, fleetSize := range []int{3, 80} {
+		cfg := testSettings()
+		cfg.FleetSize, cfg.CanGossip, cfg.WeightKind, cfg.HeadroomIndex, cfg.LimitIndex =
+			fleetSize, true, WeightsApproximate, -1, -1
+		r := newRecorder(t, cfg)
+		r.updateList(ListFull, Endpoint{ID: 1, State: Ready, Weight: 200})
+		r.submit(1, 0, 0)
+		r.serve(200*ms, 50*ms)
+		route := r.c.destination(0).sharedRoute
+		m := r.submit(2, 0, 0)
+		for rejections := 1; rejections <= 2; rejections++ {
+			for !m.inFlight {
+				r.advance(5 * ms)
+			}
+			fraction := route.limit.fraction
+			r.answer(2, RejectedUnexplained, 0)
+			r.advance(ms)
+			if lowered := route.limit.fraction < fraction; lowered != (fleetSize == 3 || rejections == 2) {
+				t.Errorf("fleet of %d, rejection %d: fraction lowered %v", fleetSize, rejections, lowered)
+			}
+		}
+	}
+}
+
 func TestConnectionStats(t *testing.T) {
 	for _, c := range []struct {
 		name                   string
--- a/control/controller.go
+++ b/control/controller.go
@@ -258,6 +258,7 @@
 			c.recordCallTime(dest, o.Elapsed)
 		}
 	}
+	o.Result = c.explainRejection(endpoint, o.Result)
 	c.recordConnection(a, o.Result)
 	if o.Result == ConnectionRejected {
 		// In a large fleet the connections of peers use up the endpoint's capacity. This indicates neither a rate limit
--- a/control/controller_test.go
+++ b/control/controller_test.go
@@ -87,7 +87,7 @@
 	}
 	r := newRecorder(t, cfg)
 	id := MessageID(0)
-	results := []Result{Served, Served, Served, Served, Failed, Rejected, TimedOut, ConnectFailed, ConnectionRejected,
+	results := []Result{Served, Served, Served, Served, Failed, Rejected, TimedOut, ConnectFailed, ConnectionRejected, RejectedUnexplained,
 		ConnectionLost, Unknown, NotSent}
 	for range 1500 {
 		switch rng.IntN(12) {
--- a/control/handover.go
+++ b/control/handover.go
@@ -111,6 +111,9 @@
 	if e == nil {
 		return
 	}
+	if o.Result == RejectedUnexplained {
+		o.Result = Rejected
+	}
 	switch o.Result {
 	case NotSent, Unprocessable, Canceled, ConnectionRejected:
 		return // independent of the endpoint's health
--- a/control/outcome.go
+++ b/control/outcome.go
@@ -7,22 +7,27 @@
 
 // The results.
 const (
-	Unknown            Result = iota // any other result
-	Served                           // delivered
-	Failed                           // answered with an error
-	Rejected                         // refused without being processed
-	TimedOut                         // no answer in time
-	ConnectFailed                    // the connection could not be opened
-	ConnectionLost                   // the connection was lost
-	Canceled                         // canceled by Actions.Cancel
-	NotSent                          // the host did not send it
-	Unprocessable                    // the destination cannot process this message
-	ConnectionRejected               // refused without being processed, as the endpoint had no capacity for the connection
+	Unknown             Result = iota // any other result
+	Served                            // delivered
+	Failed                            // answered with an error
+	Rejected                          // refused without being processed
+	TimedOut                          // no answer in time
+	ConnectFailed                     // the connection could not be opened
+	ConnectionLost                    // the connection was lost
+	Canceled                          // canceled by Actions.Cancel
+	NotSent                           // the host did not send it
+	Unprocessable                     // the destination cannot process this message
+	ConnectionRejected                // refused without being processed, as the endpoint had no room for the connection
+	RejectedUnexplained               // Rejected or ConnectionRejected, it is not known which
 )
 
 // MayHaveRun reports whether an attempt with this result may have taken effect.
 func (r Result) MayHaveRun() bool {
-	return r != Rejected && r != ConnectFailed && r != ConnectionRejected && r != NotSent && r != Unprocessable
+	switch r {
+	case Rejected, RejectedUnexplained, ConnectFailed, ConnectionRejected, NotSent, Unprocessable:
+		return false
+	}
+	return true
 }
 
 // Outcome is the outcome of an attempt.
--- a/internal/deadletter/queue.go
+++ b/internal/deadletter/queue.go
@@ -153,7 +153,7 @@
 	switch result {
 	case control.Served, control.Unprocessable: // the partner responded
 		return redelivery.Served
-	case control.Rejected, control.ConnectionRejected:
+	case control.Rejected, control.RejectedUnexplained, control.ConnectionRejected:
 		return redelivery.Rejected
 	case control.NotSent:
 		return redelivery.NotSent
--- a/internal/deadletter/queue_test.go
+++ b/internal/deadletter/queue_test.go
@@ -438,8 +438,8 @@
 func TestPartnerResult(t *testing.T) {
 	for r, want := range map[control.Result]redelivery.Result{
 		control.Served: redelivery.Served, control.Rejected: redelivery.Rejected,
-		control.ConnectionRejected: redelivery.Rejected,
-		control.ConnectFailed:      redelivery.Failed, control.NotSent: redelivery.NotSent,
+		control.ConnectionRejected: redelivery.Rejected, control.RejectedUnexplained: redelivery.Rejected,
+		control.ConnectFailed: redelivery.Failed, control.NotSent: redelivery.NotSent,
 	} {
 		if got := partnerResult(r); got != want {
 			t.Errorf("result %v converted to %v, want %v", r, got, want)
--- a/internal/deadletter/record.go
+++ b/internal/deadletter/record.go
@@ -142,7 +142,7 @@
 	control.Unknown: "unknown", control.Served: "served", control.Failed: "error", control.Rejected: "refused",
 	control.TimedOut: "timed-out", control.ConnectFailed: "no-connection", control.ConnectionLost: "reset",
 	control.Canceled: "cancelled", control.NotSent: "not-sent", control.Unprocessable: "rejected",
-	control.ConnectionRejected: "no-room",
+	control.ConnectionRejected: "no-room", control.RejectedUnexplained: "refused",
 }
 
 // convertAttempts converts attempts reported by the event loop. Attempts that are still open may have run.
--- a/internal/protocol/callresult.go
+++ b/internal/protocol/callresult.go
@@ -94,6 +94,9 @@
 	response := x.Responses[0]
 	common := resultOfResponse(response)
 	common.RetryAfter = maxRetryAfter(x.Responses)
+	if common.Result == control.Rejected && common.RetryAfter == 0 {
+		common.Result = control.RejectedUnexplained // the endpoint closes each connection, as the request asks it to
+	}
 	if common.Result == control.Unprocessable {
 		f.log.Error("endpoint rejected the call as invalid",
 			"endpoint", f.call.Target.ID, "status", response.Status, "count", len(f.attempts))
