Take out endpoints that any response of a doubtful poll names as leaving

Cause: the bodies of several responses were parsed as one text, of which only the first list was read; a draining endpoint in the second was sent to until the next poll. Change: each body is parsed.

--- a/internal/protocol/discovery.go
+++ b/internal/protocol/discovery.go
@@ -224,8 +224,8 @@
 	switch {
 	case errors.As(err, &broken):
 		d.Log.Warn("discovery response incomplete or malformed, polling again",
-			"err", err, "bytes", len(broken.body), "attempt", current.retries)
-		d.events.Post(state.ListUnreadable{StartedAt: broken.startedAt, Departing: parseDraining(broken.body, d.Names)})
+			"err", err, "bytes", broken.bytes(), "attempt", current.retries)
+		d.events.Post(state.ListUnreadable{StartedAt: broken.startedAt, Departing: broken.departing(d.Names)})
 		current.uncertainSince = broken.startedAt
 		d.retryAfterBackoff(ctx, current, err)
 	case !current.uncertainSince.IsZero() &&
--- a/internal/protocol/discovery_test.go
+++ b/internal/protocol/discovery_test.go
@@ -277,3 +277,30 @@
 		}
 	}
 }
+
+// TestDoubtfulListResponse guards against a list that may answer another poll: endpoints that any response names as
+// leaving are reported, and the list is polled again at once.
+func TestDoubtfulListResponse(t *testing.T) {
+	old := socktest.JSON(`{"version":4,"full":false,"servers":[]}`)
+	for _, doubtful := range []string{old + socktest.JSON(changedList), socktest.JSON(changedList) + old} {
+		addr := socktest.Serve(t, func(conn int, r *http.Request, _ string) string {
+			switch {
+			case conn == 0:
+				return doubtful
+			case r.URL.Query().Get("since") == "4":
+				return socktest.JSON(changedList)
+			}
+			return socktest.Hang
+		})
+		recorder := newEventRecorder()
+		d := startDiscovery(t, recorder, DiscoveryConfig{Addr: addr, MaxPollInterval: 10 * time.Second})
+		startedAt := time.Now()
+		d.Watch(true, 4)
+		if u := next[state.ListUnreadable](t, recorder); len(u.Departing) != 1 || u.Departing[0].ID != "a" {
+			t.Errorf("%q: %+v", doubtful, u)
+		}
+		if n := next[state.ListUpdate](t, recorder); n.Version != 9 || time.Since(startedAt) > time.Second {
+			t.Errorf("%q: %+v after %v", doubtful, n, time.Since(startedAt))
+		}
+	}
+}
--- a/internal/protocol/poll.go
+++ b/internal/protocol/poll.go
@@ -41,7 +41,7 @@
 // A brokenResponseError is returned for a response that is incomplete or malformed, so that its content is unknown.
 type brokenResponseError struct {
 	startedAt time.Time // when the first byte arrived
-	body      []byte    // the part of the body that was received
+	bodies    [][]byte  // the parts of the bodies that were received
 	cause     error
 }
 
@@ -114,7 +114,7 @@
 	case err == nil:
 		update, err := ParseList(e.body, d.Names)
 		if err != nil {
-			return state.ListUpdate{}, &brokenResponseError{e.startedAt, e.body, err}
+			return state.ListUpdate{}, &brokenResponseError{e.startedAt, e.bodies(), err}
 		}
 		return update, nil
 	case !e.startedAt.IsZero() && (r.fullList() || !e.repeatsVersion(r.since)):
@@ -133,11 +133,29 @@
 	return len(e.received) == 1 && isUnchanged(e.received[0].Body, version)
 }
 
-// bodies returns the received bodies of all responses, one after another.
-func (e exchange) bodies() []byte {
-	var all []byte
+// bodies returns the received bodies of all responses.
+func (e exchange) bodies() [][]byte {
+	var all [][]byte
 	for _, r := range e.received {
-		all = append(all, r.Body...)
+		all = append(all, r.Body)
 	}
 	return all
 }
+
+// departing returns the targets that any of the received bodies lists as draining or removed.
+func (e *brokenResponseError) departing(n Names) []state.Target {
+	var targets []state.Target
+	for _, body := range e.bodies {
+		targets = append(targets, parseDraining(body, n)...)
+	}
+	return targets
+}
+
+// bytes returns the total size of the received bodies.
+func (e *brokenResponseError) bytes() int {
+	total := 0
+	for _, body := range e.bodies {
+		total += len(body)
+	}
+	return total
+}
--- a/internal/protocol/reporter_test.go
+++ b/internal/protocol/reporter_test.go
@@ -93,3 +93,28 @@
 		t.Errorf("acknowledged %v, received %q", numbers, got)
 	}
 }
+
+// TestDoubtfulReportResponse guards against a report counting as received by a response that may belong to another
+// request: one that is followed by a different one, or cut short.
+func TestDoubtfulReportResponse(t *testing.T) {
+	for _, doubtful := range []string{
+		socktest.Status(204) + socktest.Status(503), "HTTP/1.1 204 x\r\n", socktest.Status(400) + socktest.Status(204),
+	} {
+		received := make(chan string, 8)
+		addr := socktest.Serve(t, func(conn int, _ *http.Request, body string) string {
+			received <- body
+			if conn == 0 {
+				return doubtful
+			}
+			return socktest.Status(204) + socktest.Status(204)
+		})
+		recorder := newEventRecorder()
+		reporter := NewReporter(recorder, addr, discardLog)
+		runUntilEnd(t, reporter.Run)
+		reporter.Report(state.DeliveryReport{Number: 1, ID: "a"})
+		next[state.ReportsAcknowledged](t, recorder)
+		if a, b := <-received, <-received; a != b {
+			t.Errorf("%q: received %q and %q", doubtful, a, b)
+		}
+	}
+}
