Honor a Retry-After in a response whose head is cut short

Cause: the lines of an incomplete head were dropped, so that a wait in them was not kept. Change: the first 1 KiB of a connection's input is kept and its complete lines are read. Also a test of doubtful health checks.

--- a/internal/httpconn/conn.go
+++ b/internal/httpconn/conn.go
@@ -13,8 +13,9 @@
 	// MaxHeaderBytes is the maximum size of a request line or status line including the headers.
 	MaxHeaderBytes = 16 << 10
 
-	readBufferSize = 4 << 10 // bytes
-	maxLingerBytes = 1 << 20 // bytes discarded from a connection between its half-close and its close
+	readBufferSize   = 4 << 10 // bytes
+	maxRecordedBytes = 1 << 10 // of the input of a connection
+	maxLingerBytes   = 1 << 20 // bytes discarded from a connection between its half-close and its close
 )
 
 // PastDeadline is a deadline in the past, which interrupts pending reads and writes on a connection.
@@ -26,12 +27,32 @@
 	net.Conn
 	ReadLimit *io.LimitedReader
 	Reader    *bufio.Reader
+	start     *startRecorder
 }
 
 // New returns a connection that reads from c through a buffer.
 func New(c net.Conn) *Conn {
-	limit := &io.LimitedReader{R: c}
-	return &Conn{Conn: c, ReadLimit: limit, Reader: bufio.NewReaderSize(limit, readBufferSize)}
+	start := &startRecorder{from: c}
+	limit := &io.LimitedReader{R: start}
+	return &Conn{Conn: c, ReadLimit: limit, Reader: bufio.NewReaderSize(limit, readBufferSize), start: start}
+}
+
+// Through makes the connection read through another reader from now on.
+func (c *Conn) Through(r io.Reader) { c.start.from = r }
+
+// A startRecorder keeps the first bytes that are read.
+type startRecorder struct {
+	from  io.Reader
+	bytes []byte
+}
+
+// Read implements io.Reader.
+func (r *startRecorder) Read(p []byte) (int, error) {
+	n, err := r.from.Read(p)
+	if room := maxRecordedBytes - len(r.bytes); room > 0 {
+		r.bytes = append(r.bytes, p[:min(n, room)]...)
+	}
+	return n, err
 }
 
 // Dial opens a TCP connection. The context bounds only the dial.
--- a/internal/httpconn/exchange.go
+++ b/internal/httpconn/exchange.go
@@ -82,6 +82,9 @@
 		}
 		response, err := c.readResponse(o.Method, o.MaxBody)
 		if err != nil {
+			if response.Header == nil {
+				response.Header = completeLines(c.start.bytes)
+			}
 			x.Partial, x.Err = &response, err
 			return x
 		}
--- a/internal/httpconn/response.go
+++ b/internal/httpconn/response.go
@@ -1,6 +1,7 @@
 package httpconn
 
 import (
+	"bytes"
 	"errors"
 	"io"
 	"net/http"
@@ -60,6 +61,18 @@
 	return nil
 }
 
+// completeLines returns the complete header lines in the input of a connection whose last response can't be read.
+func completeLines(input []byte) http.Header {
+	header := http.Header{}
+	lines := bytes.Split(input, []byte("\n"))
+	for _, line := range lines[:len(lines)-1] {
+		if name, value, found := bytes.Cut(line, []byte(":")); found {
+			header.Add(string(name), string(bytes.TrimSpace(value)))
+		}
+	}
+	return header
+}
+
 // ReadBody reads a body of at most limit bytes. It returns ErrTooLong if the body is longer.
 func ReadBody(from io.Reader, limit int64) ([]byte, error) {
 	body, err := io.ReadAll(io.LimitReader(from, limit+1))
--- a/internal/protocol/httpclient.go
+++ b/internal/protocol/httpclient.go
@@ -76,12 +76,14 @@
 // readExchange reads the response to a request that was sent.
 func (h *httpClient) readExchange(ctx context.Context, c *httpconn.Conn, method string) (exchange, error) {
 	options := httpconn.ReadOptions{Method: method, MaxBody: maxListBytes}
+	paced := false
 	options.Await = func([]httpconn.Response) error {
 		_, err := c.Reader.Peek(1)
-		if err == nil && h.pacing.maxGap > 0 && c.ReadLimit.R == c.Conn {
-			c.ReadLimit.R = &pacedReader{
+		if err == nil && h.pacing.maxGap > 0 && !paced {
+			paced = true
+			c.Through(&pacedReader{
 				ctx: ctx, conn: c.Conn, maxGap: h.pacing.maxGap, deadline: time.Now().Add(h.pacing.maxDuration),
-			}
+			})
 		}
 		return err
 	}
--- a/internal/protocol/transport_test.go
+++ b/internal/protocol/transport_test.go
@@ -210,7 +210,11 @@
 	{"noise without end", "what?", time.Minute, state.AttemptResult{Result: control.Failed}},
 	{"head without end", "HTTP/1.1 503 x\r\nA: " + strings.Repeat("x", 2*httpconn.MaxHeaderBytes+state.MaxBody), time.Minute,
 		state.AttemptResult{Result: control.Failed}},
-	{"head left off", "HTTP/1.1 503 x\r\nRetry-After: 1\r\n", time.Minute, state.AttemptResult{Result: control.Failed}},
+	{"head left off", "HTTP/1.1 503 x\r\nRetry-After: 1\r\n", time.Minute,
+		state.AttemptResult{Result: control.Failed, RetryAfter: time.Second}},
+	{"wait left off", "HTTP/1.1 503 x\r\nRetry-After: 1", time.Minute, state.AttemptResult{Result: control.Failed}},
+	{"second head left off", socktest.Status(200) + "HTTP/1.1 503 x\r\nRetry-After: 1\r\nA", time.Minute,
+		state.AttemptResult{Result: control.Failed, RetryAfter: time.Second}},
 	{"body left off", "HTTP/1.1 503 x\r\nContent-Length: 3000000000\r\n\r\nx", time.Minute,
 		state.AttemptResult{Result: control.Failed}},
 	{"200, then noise", "HTTP/1.1 200 x\r\nwhat\r\n\r\n", time.Minute, state.AttemptResult{Result: control.Failed}},
@@ -340,3 +344,20 @@
 		t.Errorf("%+v", counts)
 	}
 }
+
+// TestDoubtfulHealthCheck checks that a health check without an attributable response does not succeed.
+func TestDoubtfulHealthCheck(t *testing.T) {
+	for answer, want := range map[string]control.Result{
+		socktest.Status(200) + socktest.Status(200):    control.Served,
+		socktest.Status(200) + socktest.Status(503):    control.ConnectionLost,
+		"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\n": control.ConnectionLost,
+	} {
+		recorder := newEventRecorder()
+		transport := NewTransport(recorder, discardLog)
+		addr := socktest.Serve(t, func(int, *http.Request, string) string { return answer })
+		transport.HealthCheck(state.Target{ID: "s", Addr: addr}, time.Now().Add(time.Second))
+		if e := next[state.HealthChecked](t, recorder); e.Result != want {
+			t.Errorf("%q: %v, want %v", answer, e.Result, want)
+		}
+	}
+}
