--- a/internal/harness/discovery.go
+++ b/internal/harness/discovery.go
@@ -36,7 +36,7 @@
 		mux.HandleFunc("POST /status", func(w http.ResponseWriter, r *http.Request) { env.serveReports(i, w, r) })
 		server := &http.Server{Handler: mux, ReadHeaderTimeout: 10 * time.Second}
 		env.wg.Go(func() {
-			if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			if err := server.Serve(&responseFaultListener{l, env}); !errors.Is(err, http.ErrServerClosed) {
 				env.cancel(fmt.Errorf("harness: discovery server of sender %d failed: %w", i, err))
 			}
 		})
--- a/internal/harness/endpoint_listener.go
+++ b/internal/harness/endpoint_listener.go
@@ -183,7 +183,7 @@
 
 // resetConn closes a connection with a TCP reset.
 func resetConn(c net.Conn) {
-	if tcpConn, ok := c.(*net.TCPConn); ok {
+	if tcpConn, ok := c.(interface{ SetLinger(seconds int) error }); ok {
 		tcpConn.SetLinger(0)
 	}
 	c.Close()
--- a/internal/harness/faults.go
+++ b/internal/harness/faults.go
@@ -7,7 +7,8 @@
 // Faults contains the faults and special behavior of a run on sockets that are not part of its plan. The zero value
 // injects no faults.
 type Faults struct {
-	Answers     []AnswerFault // failures of discovery answers
+	Answers     []AnswerFault   // failures of discovery answers
+	Responses   []ResponseFault // bytes that answer no request
 	IdleClients []IdleClients
 	// KeepConnections makes clients continue to use their connections to a sender that shuts down, until these are
 	// closed.
--- a/internal/harness/server_conn.go
+++ b/internal/harness/server_conn.go
@@ -47,6 +47,7 @@
 		resetConn(conn)
 		return
 	}
+	e.env.writeEarlyResponse(conn)
 	for s.serveNext() {
 		s.firstCall = false
 	}
@@ -167,8 +168,9 @@
 	if c.closes {
 		header += "Connection: close\r\n"
 	}
-	_, err := fmt.Fprintf(s.conn, "HTTP/1.1 %d %s\r\n%sContent-Length: %d\r\n\r\n%s",
+	text := fmt.Appendf(nil, "HTTP/1.1 %d %s\r\n%sContent-Length: %d\r\n\r\n%s",
 		status, http.StatusText(status), header, len(body), body)
+	err := s.listener.env.writeResponse(s.conn, text)
 	return err == nil && !s.overCapacity && !c.closes
 }
 
--- a/internal/soak/draw.go
+++ b/internal/soak/draw.go
@@ -37,6 +37,7 @@
 	drawScript
 	drawAnswers
 	drawCalls
+	drawResponses
 )
 
 // partDraw generates one part of a case from its random stream.
@@ -59,6 +60,7 @@
 	c.Senders = o.Senders + size.IntN(o.Senders/2+1)
 	c.Script = script(part(drawScript), c.Senders, o)
 	c.drawAnswers(part(drawAnswers))
+	c.drawResponses(part(drawResponses))
 	if o.Strace != "" {
 		c.drawCalls(part(drawCalls), o.Strace)
 	}
@@ -194,6 +196,18 @@
 	}
 }
 
+// drawResponses generates responses that come twice, too early, too late, too long or too short.
+func (c *Case) drawResponses(d partDraw) {
+	seconds := func(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+	for range 2 + d.IntN(4) {
+		at := d.begin()
+		f := harness.ResponseFault{From: seconds(at), To: seconds(at + d.between(1, 8)), Fraction: d.between(0.05, 0.6)}
+		f.Failure = harness.ResponseFailures[d.IntN(len(harness.ResponseFailures))]
+		c.Faults.Responses = append(c.Faults.Responses, f)
+		c.addNote("responses, %.1f to %.1f s: %.2f of them %s", f.From.Seconds(), f.To.Seconds(), f.Fraction, f.Failure)
+	}
+}
+
 // addNote records the description of a fault that is not in the script.
 func (c *Case) addNote(format string, args ...any) {
 	c.Notes = append(c.Notes, fmt.Sprintf(format, args...))
