--- a/cmd/cleathold/labsoak.go
+++ b/cmd/cleathold/labsoak.go
@@ -108,8 +108,9 @@
 		fmt.Fprintf(out, "seed %d: not played: %v (%s)\n", drawn.Seed, err, folder)
 		return false
 	}
-	fmt.Fprintf(out, "seed %d: %d senders, %d messages, service %.2f, %d calls, %d restarts, lag %.1f ms, %d findings\n",
-		drawn.Seed, drawn.Senders, r.Result.Messages, r.Result.Service, r.Result.Calls, r.Result.Restarts,
+	fmt.Fprintf(out, "seed %d: %d senders, %d messages, service %.2f, %d calls, %d connections, %d restarts, lag %.1f ms, "+
+		"%d findings\n",
+		drawn.Seed, drawn.Senders, r.Result.Messages, r.Result.Service, r.Result.Calls, r.Result.Connections, r.Result.Restarts,
 		r.Result.EndpointLag.P99, len(r.Findings))
 	if len(r.Findings) == 0 {
 		return true
