Doubt a response without the close that its endpoint announces otherwise

Cause: a response that an endpoint sent before it read the request was believed if the endpoint then closed the connection in order with no response to it; a refusal like that repeated an unsafe message that had run. Change: the transport remembers which endpoints announce the close in their responses, which they can do only for a request that they have read; a response of theirs without it may have run.

--- a/cmd/cleathold/duplicatedresponse_test.go
+++ b/cmd/cleathold/duplicatedresponse_test.go
@@ -90,6 +90,7 @@
 type duplicatingEndpoint struct {
 	before func(c *endpointConn, previous string)
 	after  func(c *endpointConn, response string)
+	mute   int // after so many calls, calls are processed and the connection is closed in order without a response
 
 	mu        sync.Mutex
 	calls     int
@@ -115,6 +116,9 @@
 		if len(c.responses) > 0 {
 			previous = c.responses[len(c.responses)-1]
 		}
+		if c.requests == 1 && !e.answers() {
+			io.WriteString(conn, socktest.Status([]int{200, 503}[time.Now().UnixMilli()%2]))
+		}
 		if c.requests == 1 {
 			e.before(c, previous)
 		}
@@ -127,7 +131,14 @@
 			e.before(c, previous)
 		}
 		time.Sleep(serviceTime)
+		if !e.answers() {
+			e.process(request.Header.Get("X-Request-Id"))
+			return
+		}
 		response := e.respond(request.Header.Get("X-Request-Id"))
+		if request.Close {
+			response = strings.Replace(response, "\r\n", "\r\nConnection: close\r\n", 1)
+		}
 		if _, err := io.WriteString(conn, response); err != nil {
 			return
 		}
@@ -139,6 +150,21 @@
 	}
 }
 
+// answers reports whether the endpoint answers calls.
+func (e *duplicatingEndpoint) answers() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.mute == 0 || e.calls < e.mute
+}
+
+// process records a call that gets no response.
+func (e *duplicatingEndpoint) process(id string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.calls++
+	e.processed[id]++
+}
+
 // respond records a call and returns its response.
 func (e *duplicatingEndpoint) respond(id string) string {
 	e.mu.Lock()
@@ -169,17 +195,28 @@
 	}
 }
 
-// testDuplicatedResponse submits messages to a sender with a duplicating endpoint, and checks the end of each.
+// TestEarlyResponseThenClose guards against a response that the endpoint sent before it read the request being believed
+// if the endpoint then processes the request and closes the connection in order without a response to it.
+func TestEarlyResponseThenClose(t *testing.T) {
+	nothing := func(*endpointConn, string) {}
+	endpoint := &duplicatingEndpoint{before: nothing, after: nothing, mute: 8}
+	playDuplicatedResponses(t, endpoint, 10)
+}
+
+// testDuplicatedResponse is one case of TestDuplicatedResponse.
 func testDuplicatedResponse(t *testing.T, before, after func(c *endpointConn, text string)) {
 	t.Parallel()
-	endpoint := &duplicatingEndpoint{
-		before: before, after: after, processed: map[string]int{}, delivered: map[string]bool{},
-	}
+	playDuplicatedResponses(t, &duplicatingEndpoint{before: before, after: after}, 48)
+}
+
+// playDuplicatedResponses submits messages to a sender with an endpoint, and checks the end of each.
+func playDuplicatedResponses(t *testing.T, endpoint *duplicatingEndpoint, messages int) {
+	endpoint.processed, endpoint.delivered = map[string]int{}, map[string]bool{}
 	env := newEnvironment(t, nil)
 	env.targetAddr = socktest.Accept(t, endpoint.serve)
 	env.reports = make(chan string, 1024)
 	env.start()
-	accepted := submitForDuplication(t, env, 48)
+	accepted := submitForDuplication(t, env, messages)
 	time.Sleep(messageLifetime + reportSlack)
 	reported := map[string]bool{}
 	for len(env.reports) > 0 {
--- a/internal/protocol/callresult.go
+++ b/internal/protocol/callresult.go
@@ -87,6 +87,9 @@
 // endExchange ends the attempts of a call whose request was sent, according to what the endpoint sent.
 func (f *inFlightCall) endExchange(connection string, x httpconn.Exchange) {
 	doubt := x.Doubt(f.equivalent)
+	if doubt == httpconn.NoDoubt && f.announcements.missing(f.call.Target.ID, x.Responses) {
+		doubt = httpconn.Unannounced
+	}
 	if doubt != httpconn.NoDoubt {
 		f.endDoubtful(connection, x, doubt)
 		return
--- a/internal/protocol/transport.go
+++ b/internal/protocol/transport.go
@@ -27,6 +27,7 @@
 	events           EventPoster
 	log              *slog.Logger
 	counters         *TransportCounters
+	announcements    closeAnnouncements
 	healthCheckSlots chan struct{} // holds a token for each health check in progress
 	dial             func(ctx context.Context, addr string) (*httpconn.Conn, error)
 
--- a/internal/protocol/transport_test.go
+++ b/internal/protocol/transport_test.go
@@ -361,3 +361,33 @@
 		}
 	}
 }
+
+// TestUnannouncedClose checks that a response of an endpoint that announces the close of its connections otherwise is
+// not believed without the announcement, unless that goes on.
+func TestUnannouncedClose(t *testing.T) {
+	recorder := newEventRecorder()
+	transport := NewTransport(recorder, discardLog)
+	announced := true
+	addr := socktest.Serve(t, func(int, *http.Request, string) string {
+		if announced {
+			return socktest.Status(200, "Connection: close")
+		}
+		return socktest.Status(200)
+	})
+	for i, c := range []struct {
+		announced bool
+		calls     int
+		want      control.Result
+	}{
+		{false, 1, control.Served}, {true, 1, control.Served}, {false, maxUnannounced - 1, control.Failed},
+		{true, 1, control.Served}, {false, maxUnannounced, control.Failed}, {false, 1, control.Served},
+	} {
+		announced = c.announced
+		for range c.calls {
+			transport.Send(callTo(addr, time.Minute, "a"))
+			if e := next[state.CallEnded](t, recorder).Results[0]; e.Result != c.want {
+				t.Errorf("step %d: %v, want %v", i, e.Result, c.want)
+			}
+		}
+	}
+}
