Take bytes before a poll for a list that may have been told

Cause: a list that arrived before the poll was dropped with the connection, and the poll counted as failed: discovery had written it, so the sender counts as notified of it, and asked again only 0.5 to 3.6 s later. Found by reading for the class. Change: what arrives before a request is read; a list in it makes the list uncertain, its leaving endpoints are taken out, it is polled again at once. TestEarlyListResponse.

--- a/internal/httpconn/exchange.go
+++ b/internal/httpconn/exchange.go
@@ -24,6 +24,7 @@
 	Malformed         // a response is incomplete or can't be read
 	Conflicting       // several responses that differ
 	NotClosed         // the server did not close the connection in order after its response
+	Early             // bytes arrived before the request
 	Unannounced       // the response does not announce the close that the request asked for, unlike others of the server
 	doubtCount
 )
@@ -33,7 +34,7 @@
 
 // String returns the name of the doubt in logs and in the status.
 func (d Doubt) String() string {
-	return [...]string{"none", "no-response", "malformed", "conflicting", "not-closed", "unannounced"}[d]
+	return [...]string{"none", "no-response", "malformed", "conflicting", "not-closed", "early", "unannounced"}[d]
 }
 
 // An Exchange is what a server sent on a connection with one request.
--- a/internal/protocol/discovery_test.go
+++ b/internal/protocol/discovery_test.go
@@ -2,13 +2,17 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
+	"io"
+	"net"
 	"net/http"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	"cleathold/control"
+	"cleathold/internal/httpconn"
 	"cleathold/internal/socktest"
 	"cleathold/internal/state"
 )
@@ -304,3 +308,31 @@
 		}
 	}
 }
+
+// TestEarlyListResponse checks that a list that arrives before the poll is not taken for its response, that no poll is
+// sent after it, and that the endpoints that it names as leaving are reported.
+func TestEarlyListResponse(t *testing.T) {
+	received := make(chan []byte, 1)
+	addr := socktest.Accept(t, func(_ int, conn *net.TCPConn) {
+		io.WriteString(conn, socktest.JSON(changedList))
+		conn.CloseWrite()
+		b, _ := io.ReadAll(conn)
+		received <- b
+	})
+	client := &httpClient{addr: addr, dial: func(ctx context.Context, addr string) (*httpconn.Conn, error) {
+		conn, err := httpconn.Dial(ctx, addr)
+		for err == nil && conn.OpenWithoutInput() {
+			time.Sleep(time.Millisecond)
+		}
+		return conn, err
+	}}
+	d := NewDiscovery(newEventRecorder(), DiscoveryConfig{Names: testNames, Log: discardLog})
+	_, err := d.poll(t.Context(), client, pollRequest{watch: true, since: 4})
+	var broken *brokenResponseError
+	if !errors.As(err, &broken) || len(broken.departing(testNames)) != 1 {
+		t.Errorf("%v", err)
+	}
+	if b := <-received; len(b) > 0 {
+		t.Errorf("%q was sent", b)
+	}
+}
--- a/internal/protocol/httpclient.go
+++ b/internal/protocol/httpclient.go
@@ -30,8 +30,8 @@
 	maxDuration time.Duration // maximum time for the whole response
 }
 
-// errEarlyInput is returned for a connection on which the server sent bytes, or which it closed, before the request.
-var errEarlyInput = errors.New("input or close before the request")
+// errEarlyClose is returned for a connection that the server closed before the request.
+var errEarlyClose = errors.New("connection closed before the request")
 
 // An exchange is what a server sent for a request.
 type exchange struct {
@@ -42,8 +42,8 @@
 }
 
 // do sends a request and reads its response, both by the deadline. It never sends a request twice. The error is a
-// httpconn.DoubtError if the request was sent and no response is known to belong to it; the exchange then holds what was
-// received. Any other error means that the request was not sent completely.
+// httpconn.DoubtError if something was received, or the request was sent, and no response is known to belong to the
+// request; the exchange then holds what was received. Any other error means that the request was not sent completely.
 func (h *httpClient) do(ctx context.Context, method, path string, body []byte, deadline time.Time) (exchange, error) {
 	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
@@ -54,7 +54,7 @@
 	defer c.Close()
 	defer httpconn.InterruptOnDone(ctx, c)()
 	if !c.OpenWithoutInput() {
-		return exchange{}, errEarlyInput
+		return readEarlyInput(c)
 	}
 	if _, err := c.Write(h.encodeRequest(method, path, body)); err != nil {
 		return exchange{}, err
@@ -96,6 +96,17 @@
 	return e, nil
 }
 
+// readEarlyInput reads what a server sent before the request, which is not sent. It answers no request, but the sender
+// may count as notified of its content.
+func readEarlyInput(c *httpconn.Conn) (exchange, error) {
+	c.SetReadDeadline(time.Now().Add(earlyResponseTimeout))
+	x := c.ReadExchange(httpconn.ReadOptions{Method: http.MethodGet, MaxBody: maxListBytes})
+	if x.StartedAt.IsZero() {
+		return exchange{}, errEarlyClose
+	}
+	return exchange{startedAt: x.StartedAt, received: x.Received()}, &httpconn.DoubtError{Doubt: httpconn.Early}
+}
+
 // A pacedReader reads from a connection within the limits of a readPacing until its context is done.
 type pacedReader struct {
 	ctx      context.Context
