Don't take a poll that hangs for the news that nothing changed

Cause: a sender of a large fleet that paused after a change took its next poll for an up-to-date list once that had been open for 900 ms without a response. Change: after such a pause the first poll waits for no change, and only its response makes the list known; state.PollOpen is gone. TestPollAfterDelay asks for more now: neither a poll that hangs nor one that is refused makes the list known.

--- a/cmd/cleathold/discovery_test.go
+++ b/cmd/cleathold/discovery_test.go
@@ -68,6 +68,28 @@
 	}
 }
 
+// TestSilentPollAfterListChange guards against an open poll without an answer being taken for the news that nothing
+// changed since the answer before: a change within 200 ms of that answer counts as known, and a poll that hangs, of a
+// sender of a large fleet that waited before it, brings no news of it.
+func TestSilentPollAfterListChange(t *testing.T) {
+	t.Parallel()
+	const grace = 2 * time.Second
+	env := newDrainEnvironment(t, func(*net.TCPConn, string) {}, grace, 50)
+	env.setState("up", 0, 0)
+	for until := time.Now().Add(10 * time.Second); env.notifiedAt().IsZero(); time.Sleep(time.Millisecond) {
+		if time.Now().After(until) {
+			t.Fatal("discovery was not polled")
+		}
+	}
+	time.Sleep(time.Millisecond)
+	env.setState("draining", 0, 4*time.Second)
+	notified := time.Now()
+	env.submitUntil("a", notified.Add(4*time.Second))
+	if last, _ := env.callStats(); last.Sub(notified) > grace+50*time.Millisecond {
+		t.Errorf("a call reached the target %v after discovery announced the drain", last.Sub(notified))
+	}
+}
+
 // TestRestartKeepsDrainedTarget restarts a sender while discovery does not answer. The configuration lists the target
 // as up, but the previous process knew that it drains. The sender must not send anything to the target.
 func TestRestartKeepsDrainedTarget(t *testing.T) {
--- a/internal/protocol/discovery.go
+++ b/internal/protocol/discovery.go
@@ -36,10 +36,6 @@
 	// continues for 200 ms after a response; the sender counts as notified of changes made in that time, and must
 	// receive them before the drain grace period ends.
 	maxUpdateDelayFraction = 0.4
-
-	// pollOpenDelay is the time after which an open poll counts as received by discovery, which responds with 503 to polls
-	// that were queued for too long. The delay after a change plus this time must end before sends would be held back.
-	pollOpenDelay = 900 * time.Millisecond
 )
 
 // DiscoveryConfig is the configuration of a discovery client.
@@ -129,16 +125,11 @@
 		pollCtx, cancel, addr := d.beginPoll(ctx)
 		client.addr = addr
 		startedAt := time.Now()
-		openTimer := d.reportPollOpen(current)
 		update, err := d.poll(pollCtx, client, current)
-		openTimer.Stop()
 		switch {
 		case pollCtx.Err() != nil: // the address changed; a response that arrived at the same time is ignored
 			current.watch, current.fetch = false, false // SetAddress has queued the request for the new address
 		case err != nil:
-			if current.followsDelay() && time.Since(startedAt) > pollTimeout {
-				current.uncertainSince = time.Time{} // discovery received the poll and ended it later
-			}
 			d.handleFailure(pollCtx, &current, err)
 		case !current.fullList() && update.Version < current.since:
 			d.Log.Warn("discovery returned an older list version, polling the full list",
@@ -174,15 +165,6 @@
 	return false
 }
 
-// reportPollOpen starts a timer that posts state.PollOpen once a poll that follows a delay has been open for
-// pollOpenDelay. The list is up to date then, because discovery would have sent any earlier change by that time.
-func (d *Discovery) reportPollOpen(current pollRequest) *time.Timer {
-	if !current.followsDelay() {
-		return time.NewTimer(time.Hour)
-	}
-	return time.AfterFunc(pollOpenDelay, func() { d.events.Post(state.PollOpen{}) })
-}
-
 // handleUpdate posts a list update and waits before the next poll if necessary.
 func (d *Discovery) handleUpdate(
 	ctx context.Context, current *pollRequest, update state.ListUpdate, startedAt time.Time,
@@ -197,7 +179,8 @@
 	current.advance(update.Version)
 	delayNextPoll := d.PollSpread > 0 && len(update.Targets) > 0
 	if delayNextPoll && d.DrainGrace > 0 {
-		current.uncertainSince = time.Now()
+		// A poll that waits for changes and gets no response brings no news of the changes during the delay.
+		current.uncertainSince, current.immediate = time.Now(), true
 		update.PollPaused = true
 	}
 	d.events.Post(update)
--- a/internal/protocol/discovery_test.go
+++ b/internal/protocol/discovery_test.go
@@ -180,20 +180,22 @@
 	}
 }
 
-// TestPollAfterDelay checks when the list of a sender in a large fleet counts as up to date after a delay: once the
-// next poll has been open for pollOpenDelay, even if it fails later. If the poll is rejected at once, changes made
-// before it remain unknown.
+// TestPollAfterDelay checks that a sender of a large fleet doesn't count its list as up to date after a delay until a
+// poll that waits for no change has a response: neither by a poll that hangs nor by one that is rejected.
 func TestPollAfterDelay(t *testing.T) {
 	for _, c := range []struct {
 		name string
 		open time.Duration // before it is refused
-	}{{"ends later", pollTimeout + 200*time.Millisecond}, {"is refused", 0}} {
+	}{{"hangs", pollTimeout + 200*time.Millisecond}, {"is refused", 0}} {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
 			addr := socktest.Serve(t, func(_ int, r *http.Request, _ string) string {
 				if r.URL.Query().Get("since") == "4" {
 					return socktest.JSON(changedList)
 				}
+				if wait := r.URL.Query().Get("timeout_ms"); wait != "1" {
+					t.Errorf("the poll waits for %s ms", wait)
+				}
 				time.Sleep(c.open)
 				return socktest.Status(http.StatusServiceUnavailable)
 			})
@@ -204,12 +206,7 @@
 			if n := next[state.ListUpdate](t, recorder); !n.PollPaused {
 				t.Errorf("%+v", n)
 			}
-			if c.open > 0 {
-				next[state.PollOpen](t, recorder)
-				next[state.ListUpdate](t, recorder)
-				return
-			}
-			if u := next[state.PollFailed](t, recorder); time.Since(u.UncertainSince) > time.Second {
+			if u := next[state.PollFailed](t, recorder); time.Since(u.UncertainSince) > c.open+time.Second {
 				t.Errorf("uncertain for %v", time.Since(u.UncertainSince))
 			}
 		})
--- a/internal/protocol/poll.go
+++ b/internal/protocol/poll.go
@@ -57,7 +57,7 @@
 type pollRequest struct {
 	watch, fetch   bool
 	since          int64     // the known list version
-	immediate      bool      // poll without waiting for changes, because the previous poll may have missed some
+	immediate      bool      // poll without waiting for changes, because some may have been missed
 	retries        int       // retries since the list became uncertain
 	uncertainSince time.Time // since when there may be unknown changes; zero if there are none
 }
@@ -65,11 +65,6 @@
 // fullList reports whether to poll the full list instead of the changes.
 func (r pollRequest) fullList() bool { return r.fetch || r.since == state.NoVersion }
 
-// followsDelay reports whether this is the first poll after a delay. Once it is open, the list is up to date again.
-func (r pollRequest) followsDelay() bool {
-	return !r.uncertainSince.IsZero() && !r.immediate && !r.fullList()
-}
-
 // stop ends polling until the controller requests it again.
 func (r *pollRequest) stop() { *r = pollRequest{since: r.since} }
 
--- a/internal/state/endpoints.go
+++ b/internal/state/endpoints.go
@@ -54,11 +54,6 @@
 	l.reviewList()
 }
 
-// PollOpen is the event that a poll is open at discovery, which would have answered it if the list had changed.
-type PollOpen struct{}
-
-func (PollOpen) apply(l *Loop) { l.listKnown(false) }
-
 // PollFailed is the event that the poll after a pause failed, so that list updates since a time may have been missed.
 type PollFailed struct{ UncertainSince time.Time }
 
--- a/internal/state/event.go
+++ b/internal/state/event.go
@@ -5,7 +5,7 @@
 //
 //	Submitted, ResponseWritten                    admission.go
 //	CallEnded, ReportsAcknowledged                outcome.go
-//	ListUpdate, ListUnreadable, PollOpen,
+//	ListUpdate, ListUnreadable,
 //	PollFailed, ExclusionsChanged, HealthChecked,
 //	GossipReceived                                endpoints.go
 //	Redelivery, DeadLettersStored                 redelivery.go, deadletter.go
--- a/internal/state/interfaces.go
+++ b/internal/state/interfaces.go
@@ -17,7 +17,7 @@
 	HealthCheck(t Target, deadline time.Time)
 }
 
-// Discovery polls the discovery service. It posts ListUpdate, ListUnreadable, PollOpen and PollFailed.
+// Discovery polls the discovery service. It posts ListUpdate, ListUnreadable and PollFailed.
 type Discovery interface {
 	Watch(on bool, since int64)
 	Fetch()
