Don't take an interrupted poll of a socket for a closed connection in the harness

Cause: poll(2) fails with EINTR if a signal is pending, which the runtime sends to preempt goroutines; peerClosed took that for a close by the sender and ended the connection without the answer. Change: repeat the poll. No test causes the signal at that instant.

--- a/internal/harness/server_conn.go
+++ b/internal/harness/server_conn.go
@@ -183,6 +183,9 @@
 	err = raw.Control(func(fd uintptr) {
 		pollFDs := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
 		_, err := unix.Poll(pollFDs, 0)
+		for err == unix.EINTR { // a signal of the runtime
+			_, err = unix.Poll(pollFDs, 0)
+		}
 		closed = err != nil || pollFDs[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
 	})
 	return closed || err != nil
