Review case 3: a second upgrade within seconds holds back ends that the first one left open

Seen: messages whose calls hang at the first process get their notice only when the second process ends, up to 1.9 s after their time. Cause: handleAfterHandover drops what the first process lost without telling the third one while a call of its own is in flight.

--- a/review/world/case.go
+++ b/review/world/case.go
@@ -87,8 +87,12 @@
 	if err != nil {
 		return nil, nil, err
 	}
+	admin, err := FreeAddr()
+	if err != nil {
+		return nil, nil, err
+	}
 	s, err := c.NewSender(c.Dir, Config{
-		Name: name, Listen: addr, Discovery: p.Addr, Seed: "8c1f30d27a5be964", Limits: Limits(), Known: p.Full(),
+		Name: name, Listen: addr, Admin: admin, Discovery: p.Addr, Seed: "8c1f30d27a5be964", Limits: Limits(), Known: p.Full(),
 		Settings: settings,
 	})
 	if err != nil {
@@ -102,6 +106,20 @@
 	return s, c.NewClients(addr), nil
 }
 
+// Launch starts one more process of a sender, with a second address of its own.
+func (c *Case) Launch(s *Sender) (*Process, error) {
+	admin, err := FreeAddr()
+	if err != nil {
+		return nil, err
+	}
+	s.Config.Admin = admin
+	p, err := s.Launch()
+	if err == nil {
+		c.processes = append(c.processes, p)
+	}
+	return p, err
+}
+
 // Lost notes and counts the messages that were taken on, and neither delivered nor ended by a notice 350 ms after their
 // time was up: 300 ms of the rule, and the 50 ms by which each time limit is longer.
 func (c *Case) Lost(clients *Clients, platform *Platform, endpoints ...*Endpoint) (lost int) {
--- a/review/world/sender.go
+++ b/review/world/sender.go
@@ -111,7 +111,7 @@
 }
 
 // Launch starts a process of the sender and does not wait until it is ready.
-func (s *Sender) Launch(extraEnv ...string) (*Process, error) {
+func (s *Sender) Launch() (*Process, error) {
 	if err := s.WriteConfig(); err != nil {
 		return nil, err
 	}
@@ -128,7 +128,6 @@
 	if s.Config.Admin != "" {
 		cmd.Env = append(cmd.Env, "LB_ADMIN="+s.Config.Admin)
 	}
-	cmd.Env = append(cmd.Env, extraEnv...)
 	cmd.Stdout, cmd.Stderr = log, log
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := cmd.Start(); err != nil {
@@ -147,6 +146,13 @@
 	return p, nil
 }
 
+// Process returns the process that was started last.
+func (s *Sender) Process() *Process {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.process
+}
+
 // Start starts a process and waits until the sender is ready.
 func (s *Sender) Start() (*Process, error) {
 	p, err := s.Launch()
