Review case 3: a keyed message is repeated in another hall after new settings name halls

Seen: at SIGHUP the names of halls stay those of the start, all halls not known then have the number -1, and a message that may have run in one is sent again in another.

--- a/review/build.sh
+++ b/review/build.sh
@@ -3,4 +3,4 @@
 set -e
 cd "$(dirname "$0")/.."
 mkdir -p review/bin
-go build -o review/bin/ ./review/1/drain ./review/2/lost ./review/3/upgrades
+go build -o review/bin/ ./review/1/drain ./review/2/lost ./review/3/halls
--- a/review/world/platform.go
+++ b/review/world/platform.go
@@ -72,6 +72,19 @@
 	return p, nil
 }
 
+// Move serves at another address, and closes the old one after 1.5 s.
+func (p *Platform) Move() error {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	old := p.server
+	p.server, p.Addr = &http.Server{Handler: old.Handler}, l.Addr().String()
+	go p.server.Serve(l)
+	time.AfterFunc(1500*time.Millisecond, func() { old.Close() })
+	return nil
+}
+
 // Close ends the platform.
 func (p *Platform) Close() { p.server.Close() }
 
