--- a/review/world2/restartlist.go
+++ b/review/world2/restartlist.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"errors"
 	"fmt"
 	"time"
 )
@@ -37,6 +38,9 @@
 			break
 		}
 	}
+	if w.trouble && !w.platform.isDown() {
+		return verdict{}, errors.New("discovery was asked for no answer in 5 s")
+	}
 	downSince := time.Now()
 	time.Sleep(2500 * time.Millisecond)
 	var found, after []*message
