--- a/review/world2/foreign.go
+++ b/review/world2/foreign.go
@@ -8,7 +8,7 @@
 
 func init() { cases["address-reused"] = addressReused }
 
-// addressReused: the endpoint of destination 1 refuses connections and is replaced by one with another address. Its own
+// addressReused: the endpoint of destination 1 refuses connections for 7 s and is replaced by one with another address. Its own
 // address is taken by a new endpoint of destination 2. Between the two, the sender is killed and started again.
 func addressReused(w *world) (verdict, error) {
 	if err := w.newPlatform(60 * time.Millisecond); err != nil {
@@ -18,7 +18,7 @@
 	if err != nil {
 		return verdict{}, err
 	}
-	if _, err := w.listEndpoint("s-other", 2); err != nil {
+	if err := w.others(); err != nil {
 		return verdict{}, err
 	}
 	if w.sender, err = w.newSender(hollow()); err != nil {
@@ -27,15 +27,17 @@
 	if err := w.sender.start(); err != nil {
 		return verdict{}, err
 	}
+	defer w.traffic()()
 	time.Sleep(1500 * time.Millisecond)
 	w.submit("fee-payment", 1, 8*time.Second, []byte("before"))
 	time.Sleep(500 * time.Millisecond)
 	w.rec.note("s-old refuses connections")
 	old.listener.Close()
-	for range 5 {
+	for range 7 {
 		w.submit("fee-payment", 1, 16*time.Second, []byte("for destination 1"))
-		time.Sleep(400 * time.Millisecond)
+		time.Sleep(time.Second)
 	}
+	share := w.share(1)
 	restarted := make(chan error, 1)
 	if w.trouble {
 		go func() { restarted <- w.sender.restart() }()
@@ -70,5 +72,6 @@
 		}
 	}
 	w.mu.Unlock()
-	return verdict{foreign > 0, fmt.Sprintf("%d messages were sent to an endpoint of another destination", foreign)}, nil
+	return verdict{foreign > 0, fmt.Sprintf("%d messages were sent to an endpoint of another destination; destination 1 had %d%% of the traffic",
+		foreign, share)}, nil
 }
