--- a/review/world2/restartlist.go
+++ b/review/world2/restartlist.go
@@ -68,7 +68,7 @@
 	taken, called, delivered := w.count(after)
 	text := fmt.Sprintf("found untried by the restart: %d, called %d; handed in from 6 s after the trouble on: %d taken, %d called, %d delivered",
 		foundTaken, foundCalled, taken, called, delivered)
-	return verdict{2*foundCalled < foundTaken && called == 0 && taken > 0, text}, nil
+	return verdict{foundCalled == 0 && foundTaken > 0 && called == 0 && taken >= 15, text}, nil
 }
 
 // count returns how many messages were taken on, were sent at least once, and were delivered.
