--- a/review/world2/upgradekill.go
+++ b/review/world2/upgradekill.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -49,10 +50,14 @@
 		return verdict{}, err
 	}
 	s.process, s.ended = c, ended
-	for deadline := time.Now().Add(3 * time.Second); time.Now().Before(deadline); time.Sleep(2 * time.Millisecond) {
-		if s.order(oldAdmin, http.MethodGet, "/v1/readyz") != 200 {
+	defer old.Process.Kill()
+	for deadline := time.Now().Add(3 * time.Second); ; time.Sleep(2 * time.Millisecond) {
+		if s.order(oldAdmin, http.MethodGet, "/v1/readyz") == http.StatusServiceUnavailable {
 			break
 		}
+		if time.Now().After(deadline) {
+			return verdict{}, errors.New("the old process was not seen to hand over")
+		}
 	}
 	w.rec.note("the old process hands over")
 	if w.trouble {
@@ -61,7 +66,6 @@
 		old.Process.Kill()
 		<-oldEnded
 	}
-	defer old.Process.Kill()
 	ready := false
 	for deadline := time.Now().Add(10 * time.Second); time.Now().Before(deadline) && !ready; time.Sleep(10 * time.Millisecond) {
 		ready = s.order(s.admin, http.MethodGet, "/v1/readyz") == 200
