End the doubt of an earlier process with discovery's answer, not with a change

Cause: the next process read the stored doubt "any endpoint may have left" as knowledge, and wrote it into the list of its configuration. It asks for changes since that list's version; an endpoint that did not change is in no answer, so it stayed draining. Departures that were told had the same fault if the configuration was newer.

Change: departures and the doubt are kept beside the list in the group; the next complete answer ends both, as it holds all changes since the list's version. The doubt is stored apart (departures-doubt) with its times, bound to the content of departures, which earlier versions still read. It expires as in the process in which it began. A hand-over passes it on. While there is a doubt the full list is polled, which is answered at once.

--- a/cmd/cleathold/discoverystub_test.go
+++ b/cmd/cleathold/discoverystub_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"maps"
 	"net"
 	"net/http"
+	"os"
 	"os/exec"
 	"strconv"
 	"sync"
@@ -29,6 +31,7 @@
 	faultyUntil   time.Time                         // all answers with the change fail until this time
 	fail          func(c *net.TCPConn, text string) // writes an answer that fails
 	silent        atomic.Bool                       // polls are not answered
+	truncated     chan struct{}                     // closed by an answer that is cut off; nil: none is
 }
 
 // newDiscoveryStub returns a stub whose target is up.
@@ -48,6 +51,26 @@
 	stub.changed = make(chan struct{})
 }
 
+// truncateNext cuts off the next answer, whether or not it holds a change, and goes silent with it. The result is closed
+// when that has happened.
+func (stub *discoveryStub) truncateNext() <-chan struct{} {
+	stub.mu.Lock()
+	defer stub.mu.Unlock()
+	stub.truncated = make(chan struct{})
+	return stub.truncated
+}
+
+// truncatedBytes is the length of an answer that is cut off within its head, so that nothing of its list can be read.
+const truncatedBytes = 30
+
+// hasEnded reports whether the other side has closed a connection on which it sends nothing more.
+func hasEnded(c net.Conn) bool {
+	c.SetReadDeadline(time.Now().Add(time.Millisecond))
+	_, err := c.Read(make([]byte, 1))
+	c.SetReadDeadline(time.Time{})
+	return !errors.Is(err, os.ErrDeadlineExceeded)
+}
+
 // notifiedAt returns the time when the first answer with the latest change began, or the zero time if there was none.
 func (stub *discoveryStub) notifiedAt() time.Time {
 	stub.mu.Lock()
@@ -101,6 +124,14 @@
 		list = fmt.Sprintf(targetList, stub.target, stub.state)
 	}
 	text := socktest.JSON(fmt.Sprintf(`{"version":%d,"full":%t,"servers":%s}`, stub.version, since == "", list))
+	if stub.truncated != nil && !hasEnded(c) {
+		stub.silent.Store(true)
+		io.WriteString(c, text[:truncatedBytes])
+		c.Close()
+		close(stub.truncated)
+		stub.truncated = nil
+		return false
+	}
 	if list != "[]" && stub.version > 1 {
 		if stub.notified.IsZero() {
 			stub.notified = time.Now()
@@ -125,7 +156,11 @@
 type drainEnvironment struct {
 	*environment
 	*discoveryStub
-	process   *exec.Cmd
+	process *exec.Cmd
+	temp    string // folder of the hand-over socket; empty: none yet
+
+	discoveryAddr string
+
 	mu        sync.Mutex
 	lastCall  time.Time
 	callCount int
@@ -167,7 +202,8 @@
 		}}
 		settings["guarantees"].(map[string]any)["drain-grace-ms"] = grace.Milliseconds()
 	}
-	env.configure(socktest.Accept(t, env.serve))
+	env.discoveryAddr = socktest.Accept(t, env.serve)
+	env.configure(env.discoveryAddr)
 	env.process = env.start()
 	env.submit("safe", "first")
 	return env
--- /dev/null
+++ b/internal/endpointgroup/departures_test.go
@@ -0,0 +1,73 @@
+package endpointgroup
+
+import (
+	"log/slog"
+	"os"
+	"path/filepath"
+	"slices"
+	"testing"
+	"time"
+
+	"cleathold/control"
+)
+
+// TestDeparturesAfterKill guards against a doubt that is read as knowledge, or knowledge that is read as a doubt, if a
+// kill came between the writes of the two files or another version has written one of them.
+func TestDeparturesAfterKill(t *testing.T) {
+	dir := t.TempDir()
+	g := New(0)
+	up := func(id string) Target { return Target{ID: id, Endpoint: control.Endpoint{State: control.Ready}} }
+	list := []Target{up("a"), up("b"), up("gone")}
+	g.Update(control.ListCached, 3, list, time.Now())
+	g.MarkDeparted([]string{"gone"}, time.Now())
+	file := func(name string) []byte {
+		data, _ := os.ReadFile(filepath.Join(dir, name))
+		return data
+	}
+	open := func() *Departures { return OpenDepartures(dir, slog.New(slog.DiscardHandler)) }
+	check := func(step string, ids []string, doubt Doubt, mayAllHaveLeft bool) {
+		t.Helper()
+		d := open()
+		if !slices.Equal(d.IDs(), ids) || d.Doubt() != doubt || d.MayAllHaveLeft(list) != mayAllHaveLeft {
+			t.Errorf("%s: %v, %v, %t", step, d.IDs(), d.Doubt(), d.MayAllHaveLeft(list))
+		}
+	}
+	d := open()
+	d.Update(g, Doubt{})
+	check("one has left", []string{"gone"}, Doubt{}, false)
+	doubt := Doubt{Since: 5, Latest: 7}
+	d.Update(g, doubt)
+	check("doubt", []string{"gone"}, doubt, false)
+	if text := string(file(departuresFile)); text != `["gone","a","b"]` {
+		t.Errorf("an earlier version reads %s", text)
+	}
+	stored := file(doubtFile)
+	os.Remove(filepath.Join(dir, doubtFile))
+	check("killed before the second write of a doubt", []string{"gone", "a", "b"}, Doubt{}, true)
+	d.Update(g, Doubt{})
+	os.WriteFile(filepath.Join(dir, doubtFile), stored, 0o600)
+	check("killed before the second write of its end", []string{"gone"}, Doubt{}, false)
+	d = open()
+	if !d.Update(g, Doubt{}) || file(doubtFile) != nil {
+		t.Error("a doubt that does not count is left in the folder")
+	}
+}
+
+// TestDeparturesNotWritten guards against a doubt that is lost because a write failed: Update reports it, and the next
+// Update writes what is missing.
+func TestDeparturesNotWritten(t *testing.T) {
+	dir := t.TempDir()
+	blocked := filepath.Join(dir, doubtFile+".new")
+	g := New(0)
+	g.Update(control.ListCached, 3, []Target{{ID: "a", Endpoint: control.Endpoint{State: control.Ready}}}, time.Now())
+	d := OpenDepartures(dir, slog.New(slog.DiscardHandler))
+	os.MkdirAll(filepath.Join(blocked, "full"), 0o700) // the replacement of the file can't be written
+	doubt := Doubt{Since: 5, Latest: 7}
+	if d.Update(g, doubt) {
+		t.Error("the doubt counts as stored")
+	}
+	os.RemoveAll(blocked)
+	if !d.Update(g, doubt) || OpenDepartures(dir, d.log).Doubt() != doubt {
+		t.Error("the doubt was not stored by the next update")
+	}
+}
--- a/internal/endpointgroup/group.go
+++ b/internal/endpointgroup/group.go
@@ -30,6 +30,11 @@
 	excluded          map[string]bool      // IDs of targets that operators have excluded
 	suspended         bool                 // no new sends go to any target
 
+	// departed holds the IDs of targets that have left according to another source than the list, which has them as ready:
+	// an earlier process, or an incomplete answer of discovery. It ends with the next complete answer, which holds all
+	// changes since the version of the list.
+	departed map[string]bool
+
 	unavailableSince map[control.EndpointID]time.Time // when discovery first reported a target as draining or removed
 }
 
@@ -38,7 +43,7 @@
 	return &Group{
 		byID: map[string]*Target{}, byNumber: map[control.EndpointID]*Target{}, byHash: map[uint32]control.EndpointID{},
 		version: NoVersion, nextNumber: 1, maxTargets: maxTargets, knownDestinations: map[int]bool{}, removedAt: map[string]time.Time{},
-		unavailableSince: map[control.EndpointID]time.Time{},
+		unavailableSince: map[control.EndpointID]time.Time{}, departed: map[string]bool{},
 	}
 }
 
@@ -75,8 +80,11 @@
 	return len(g.knownDestinations) == 0 || g.knownDestinations[destination]
 }
 
-// Ready reports whether a target is listed and not draining, regardless of exclusion and suspension.
-func (g *Group) Ready(id string) bool {
+// Ready reports whether a target is listed and has not left, regardless of exclusion and suspension.
+func (g *Group) Ready(id string) bool { return g.listedReady(id) && !g.departed[id] }
+
+// listedReady reports whether a target is ready according to the list.
+func (g *Group) listedReady(id string) bool {
 	t := g.byID[id]
 	_, removed := g.removedAt[id]
 	return t != nil && !removed && t.State == control.Ready
@@ -89,12 +97,23 @@
 	return known != nil && !removed && g.controllerState(known).State == control.Ready
 }
 
+// Targets returns the listed targets in no particular order.
+func (g *Group) Targets() []Target {
+	var list []Target
+	for id, t := range g.byID {
+		if _, removed := g.removedAt[id]; !removed {
+			list = append(list, *t)
+		}
+	}
+	return list
+}
+
 // Listed returns the listed targets in ascending order of ID.
 func (g *Group) Listed() []ListedTarget {
 	list := make([]ListedTarget, 0, len(g.byID))
 	for id, t := range g.byID {
 		if _, removed := g.removedAt[id]; !removed {
-			list = append(list, ListedTarget{ID: id, Dest: t.Destination, Kind: t.Kind, Up: t.State == control.Ready})
+			list = append(list, ListedTarget{ID: id, Dest: t.Destination, Kind: t.Kind, Up: g.Ready(id)})
 		}
 	}
 	slices.SortFunc(list, func(a, b ListedTarget) int { return cmp.Compare(a.ID, b.ID) })
@@ -102,10 +121,10 @@
 }
 
 // controllerState returns a target's endpoint as passed to the controller. A ready target is passed as draining if it
-// is excluded or sends are suspended.
+// has left, is excluded or sends are suspended.
 func (g *Group) controllerState(t *Target) control.Endpoint {
 	e := t.Endpoint
-	if (g.suspended || g.excluded[t.ID]) && e.State == control.Ready {
+	if (g.suspended || g.excluded[t.ID] || g.departed[t.ID]) && e.State == control.Ready {
 		e.State = control.Draining
 	}
 	return e
@@ -129,6 +148,9 @@
 	return changed
 }
 
+// Suspended reports whether sends to all targets are suspended.
+func (g *Group) Suspended() bool { return g.suspended }
+
 // SetSuspended suspends or resumes sends to all targets. It returns the new states for the controller of targets that
 // are affected, in ascending order of number, and whether the suspension changed.
 func (g *Group) SetSuspended(suspended bool) (endpoints []control.Endpoint, changed bool) {
@@ -148,12 +170,17 @@
 func byNumber(a, b control.Endpoint) int { return cmp.Compare(a.ID, b.ID) }
 
 // Update applies a list update from discovery and returns the new states of its targets for the controller, in the
-// order of the update. A removed target keeps its number for removedRetention.
+// order of the update. They are followed by those of targets of which the update tells that they have not left. A
+// removed target keeps its number for removedRetention.
 func (g *Group) Update(kind control.ListUpdateKind, version int64, targets []Target, now time.Time) []control.Endpoint {
 	if kind == control.ListFailed {
 		return nil
 	}
 	g.version = version
+	departed := g.departed
+	if kind != control.ListCached {
+		g.departed = map[string]bool{}
+	}
 	if kind != control.ListDelta {
 		for id := range g.byID { // a full list removes the targets that it lacks; those it contains are restored below
 			g.remove(id, now)
@@ -184,17 +211,65 @@
 		g.trackReadiness(known, now)
 		endpoints = append(endpoints, g.controllerState(known))
 	}
+	return append(endpoints, g.returned(departed, endpoints, now)...)
+}
+
+// returned returns the states for the controller of the targets that had left and are ready now, without those that an
+// update contains.
+func (g *Group) returned(departed map[string]bool, updated []control.Endpoint, now time.Time) []control.Endpoint {
+	var endpoints []control.Endpoint
+	for id := range departed {
+		if !g.Ready(id) {
+			continue
+		}
+		t := g.byID[id]
+		g.trackReadiness(t, now)
+		if !slices.ContainsFunc(updated, func(e control.Endpoint) bool { return e.ID == t.Endpoint.ID }) {
+			endpoints = append(endpoints, g.controllerState(t))
+		}
+	}
+	slices.SortFunc(endpoints, byNumber)
 	return endpoints
 }
 
-// UpdateDeparting applies reports of draining or removed targets, ignoring unknown targets, and returns the new states
-// for the controller. The version of the list stays the same, as the reports may be only a part of a list update.
+// UpdateDeparting applies reports of draining or removed targets and returns the new states for the controller. The list
+// stays the same, as the reports may be only a part of a list update: they count until the next complete one.
 func (g *Group) UpdateDeparting(departing []Target, now time.Time) []control.Endpoint {
-	known := slices.DeleteFunc(slices.Clone(departing), func(t Target) bool { return g.byID[t.ID] == nil })
-	if len(known) == 0 {
-		return nil
+	ids := make([]string, 0, len(departing))
+	for _, t := range departing {
+		ids = append(ids, t.ID)
+	}
+	return g.MarkDeparted(ids, now)
+}
+
+// MarkDeparted records that targets have left, ignoring those that the list does not have as ready, and returns the new
+// states for the controller. It counts until the next complete list update.
+func (g *Group) MarkDeparted(ids []string, now time.Time) []control.Endpoint {
+	var endpoints []control.Endpoint
+	for _, id := range ids {
+		if !g.Ready(id) {
+			continue
+		}
+		g.departed[id] = true
+		g.trackReadiness(g.byID[id], now)
+		endpoints = append(endpoints, g.controllerState(g.byID[id]))
+	}
+	return endpoints
+}
+
+// WithoutDoubt returns a target as it is listed, but draining if it has left.
+func (g *Group) WithoutDoubt(t Target) Target {
+	if g.departed[t.ID] && t.State == control.Ready {
+		t.State = control.Draining
 	}
-	return g.Update(control.ListDelta, g.version, known, now)
+	return t
+}
+
+// Departed returns the sorted IDs of the targets that have left although the list has them as ready.
+func (g *Group) Departed() []string {
+	ids := slices.DeleteFunc(slices.Collect(maps.Keys(g.departed)), func(id string) bool { return !g.listedReady(id) })
+	slices.Sort(ids)
+	return ids
 }
 
 // add adds a new target and assigns its number.
--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -67,6 +67,7 @@
 	Request   bool                 `json:"ask,omitempty"`      // from the successor: requests the hand-over
 	Rejection string               `json:"refused,omitempty"`  // reason of a rejection
 	State     *state.HandoverState `json:"estate,omitempty"`   // sent with the listening socket
+	ListDoubt *state.ListDoubt     `json:"list,omitempty"`     // part of the state; earlier versions don't send it
 	Ready     bool                 `json:"ready,omitempty"`    // from the successor: it serves
 	Confirmed bool                 `json:"yours,omitempty"`    // the successor owns the state
 	Result    *state.RemoteResult  `json:"returned,omitempty"` // of an attempt that was in flight at the hand-over
--- a/internal/handover/request.go
+++ b/internal/handover/request.go
@@ -42,7 +42,7 @@
 	deadline := time.Now().Add(ReadyTimeout)
 	var err error
 	controlErr := socket.Control(func(fd uintptr) {
-		err = writeMessage(r.conn, message{Version: version, State: &s}, unix.UnixRights(int(fd)), deadline)
+		err = writeMessage(r.conn, message{Version: version, State: &s, ListDoubt: s.ListDoubt}, unix.UnixRights(int(fd)), deadline)
 	})
 	if err = errors.Join(controlErr, err); err != nil {
 		return err
--- a/internal/handover/takeover.go
+++ b/internal/handover/takeover.go
@@ -66,6 +66,7 @@
 		return nil, err
 	}
 	c.SetReadDeadline(time.Time{})
+	m.State.ListDoubt = m.ListDoubt
 	return &Takeover{State: *m.State, Listener: listener, conn: c, in: in}, nil
 }
 
--- a/internal/state/actions.go
+++ b/internal/state/actions.go
@@ -96,7 +96,7 @@
 func (a *actions) Disconnect(control.EndpointID) {}
 
 // WatchEndpoints starts or stops watching discovery for changes of the endpoint list.
-func (a *actions) WatchEndpoints(on bool) { a.discovery.Watch(on, a.group.Version()) }
+func (a *actions) WatchEndpoints(on bool) { a.discovery.Watch(on, a.loop().listVersion()) }
 
 // FetchEndpoints requests the whole endpoint list from discovery.
 func (a *actions) FetchEndpoints() { a.discovery.Fetch() }
--- a/internal/state/endpoints.go
+++ b/internal/state/endpoints.go
@@ -35,7 +35,6 @@
 	l.withholdUnavailable()
 	l.notifyCapacity()
 	if e.Kind == control.ListFull || e.Kind == control.ListDelta {
-		l.departures.Update(l.group)
 		l.listKnown(e.PollPaused)
 	}
 }
@@ -53,7 +52,6 @@
 	if endpoints := l.group.UpdateDeparting(e.Departing, l.now); len(endpoints) > 0 {
 		l.log.Info("endpoints draining according to an incomplete endpoint list", "count", len(endpoints))
 		l.endpointsExcluded(endpoints)
-		l.departures.Update(l.group)
 	}
 	l.reviewList()
 }
@@ -126,7 +124,7 @@
 		} else {
 			x.Weight = max(x.Weight, t.Weight)
 		}
-		if t.State == control.Ready {
+		if l.group.Ready(t.ID) {
 			x.Ready++
 		}
 		all[t.Destination] = x
--- a/internal/state/listcertainty.go
+++ b/internal/state/listcertainty.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"cleathold/internal/endpointgroup"
 	"cleathold/internal/permit"
 )
 
@@ -34,6 +35,10 @@
 
 	since  time.Time // when the first unreadable answer began; zero: the list is certain
 	latest time.Time // when the latest unreadable answer began
+
+	// endsAfter is the earliest time at which an uncertainty of an earlier process ends without an answer. Until then
+	// this process has not been able to poll discovery.
+	endsAfter time.Time
 }
 
 // markUncertain records an answer that could not be read.
@@ -41,18 +46,26 @@
 	if c.since.IsZero() {
 		c.since = at
 	}
-	c.latest = at
+	if at.After(c.latest) {
+		c.latest = at
+	}
 }
 
+// uncertain reports whether the list may be outdated.
+func (c *listCertainty) uncertain() bool { return !c.since.IsZero() }
+
 // suspended reports whether new sends are suspended at a time, and when to check again; the zero time stands for never.
 func (c *listCertainty) suspended(now time.Time, grace, timeout time.Duration) (suspend bool, next time.Time) {
 	if now.Before(c.awaitUntil) {
 		return true, c.awaitUntil
 	}
-	if c.since.IsZero() || grace <= 0 { // certain, or the settings have no drain grace
+	if !c.uncertain() || grace <= 0 && c.endsAfter.IsZero() { // certain, or the settings have no drain grace
 		return false, time.Time{}
 	}
 	from, to := c.since.Add(permit.SendCutoff(grace)), c.latest.Add(timeout)
+	if to.Before(c.endsAfter) {
+		to = c.endsAfter
+	}
 	switch {
 	case now.Before(from):
 		return false, from
@@ -80,6 +93,15 @@
 	l.reviewList()
 }
 
+// listVersion returns the version of the endpoint list since which to poll for changes. While there is a doubt about the
+// list, that is NoVersion: the full list is answered without delay and ends each doubt.
+func (l *Loop) listVersion() int64 {
+	if l.certainty.uncertain() || len(l.group.Departed()) > 0 {
+		return NoVersion
+	}
+	return l.group.Version()
+}
+
 // reviewList suspends or resumes sends according to the certainty of the list. It schedules its next call.
 func (l *Loop) reviewList() {
 	if l.successor != nil {
@@ -90,10 +112,10 @@
 		time.AfterFunc(max(0, next.Sub(l.now)), func() { l.Post(inspect(l.reviewList)) })
 	}
 	endpoints, changed := l.group.SetSuspended(suspend)
+	l.storeDepartures()
 	if !changed {
 		return
 	}
-	l.departures.Update(l.group)
 	if suspend {
 		l.counters.suspensions.Add(1)
 		l.log.Warn("sends suspended until the endpoint list is known", "count", len(endpoints))
@@ -102,3 +124,68 @@
 	}
 	l.endpointsExcluded(endpoints)
 }
+
+// departuresRetryInterval is the delay between two attempts to store the departures.
+const departuresRetryInterval = 100 * time.Millisecond
+
+// storeDepartures stores for the next process which endpoints have left, and the doubt about the others. A failed write
+// is repeated.
+func (l *Loop) storeDepartures() {
+	var doubt endpointgroup.Doubt
+	if l.group.Suspended() && l.certainty.uncertain() {
+		base := l.wal.TimeBase()
+		doubt = endpointgroup.Doubt{Since: base.Stamp(l.certainty.since), Latest: base.Stamp(l.certainty.latest)}
+	}
+	if l.departures.Update(l.group, doubt) || l.departuresRetryPending {
+		return
+	}
+	l.departuresRetryPending = true
+	time.AfterFunc(departuresRetryInterval, func() {
+		l.Post(inspect(func() {
+			l.departuresRetryPending = false
+			l.reviewList()
+		}))
+	})
+}
+
+// restoreDepartures applies what an earlier process stored about the endpoint list that this process starts with.
+func (l *Loop) restoreDepartures() {
+	doubt := l.departures.Doubt()
+	switch {
+	case doubt != endpointgroup.Doubt{}:
+		base := l.wal.TimeBase()
+		l.restoreUncertainty(base.Time(doubt.Since), base.Time(doubt.Latest))
+	case l.departures.MayAllHaveLeft(l.group.Targets()):
+		l.departures.ForgetIDs()
+		timeout := UncertaintyTimeout(l.settings.MaxPollInterval)
+		l.restoreUncertainty(l.now.Add(-timeout), l.now)
+	}
+	l.markDeparted(l.departures.IDs())
+	l.reviewList()
+}
+
+// markDeparted withholds new sends from endpoints that have left, until discovery has answered.
+func (l *Loop) markDeparted(ids []string) {
+	if endpoints := l.group.MarkDeparted(ids, l.now); len(endpoints) > 0 {
+		l.log.Info("endpoints draining until discovery answers", "count", len(endpoints))
+		l.endpointsExcluded(endpoints)
+	}
+}
+
+// restoreUncertainty continues the uncertainty of an earlier process. It does not end before this process has been able
+// to poll discovery.
+func (l *Loop) restoreUncertainty(since, latest time.Time) {
+	since, latest = earliest(since, l.now), earliest(latest, l.now)
+	l.certainty.markUncertain(since)
+	l.certainty.markUncertain(latest)
+	l.certainty.endsAfter = l.now.Add(l.settings.PollSpread() + initialListTimeout)
+	l.log.Warn("endpoint list is uncertain since an earlier process", "elapsed", l.now.Sub(since).Round(time.Millisecond))
+}
+
+// earliest returns the earlier of two times.
+func earliest(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
+}
--- a/internal/state/loop.go
+++ b/internal/state/loop.go
@@ -10,7 +10,6 @@
 import (
 	"context"
 	"log/slog"
-	"slices"
 	"time"
 
 	"cleathold/control"
@@ -89,6 +88,8 @@
 	callsInFlight   int           // calls that the transport has
 	walRetryPending bool          // an iteration that retries writing the log is scheduled
 
+	departuresRetryPending bool // storing the departures again is scheduled
+
 	overdueCheckedAt time.Time // when endOverdue last looked for overdue messages
 
 	requestedHandover *Handover      // the hand-over that was requested, until it is complete
@@ -146,9 +147,7 @@
 	if s.Handover != nil {
 		l.restoreHandover(s.Handover)
 	} else {
-		s.InitialList.Targets = slices.Clone(s.InitialList.Targets)
-		l.departures.Apply(s.InitialList.Targets)
-		l.backlog = append(l.backlog, s.InitialList)
+		l.backlog = append(l.backlog, s.InitialList, inspect(l.restoreDepartures))
 	}
 	return l, nil
 }
@@ -160,7 +159,7 @@
 		return wal.InMemory(s.MaxDiskBytes), t, nil
 	}
 	log, recovered, err := wal.Open(wal.Options{
-		Dir: s.Dir, Limit: s.MaxDiskBytes, Reserved: 2 * endpointgroup.MaxDeparturesBytes, Durability: s.Durability,
+		Dir: s.Dir, Limit: s.MaxDiskBytes, Reserved: endpointgroup.ReservedBytes, Durability: s.Durability,
 		GroupWait: s.GroupWait, Virtual: s.Clock != nil, Log: s.Log,
 	})
 	if err != nil {
