Store a doubt about the endpoint list when it begins, not when sends are suspended

What callers saw: calls to an endpoint that drained, after its grace: an answer of discovery broke off, and the process was killed within the grace of drains less 250 ms after that, in which sends go on.

Cause: the doubt was stored with the suspension. The next process knew of none, and discovery was silent.

Change: it is stored with the broken answer, with its time, so that the next process suspends its sends when the one before would have. A mere pause between polls is not stored before the suspension, as it comes with each change in a large fleet.

--- a/cmd/cleathold/listdoubt_test.go
+++ b/cmd/cleathold/listdoubt_test.go
@@ -13,7 +13,8 @@
 
 // TestListDoubtEnds guards against endpoints that get no calls for good: an answer of discovery breaks off, sends are
 // suspended, and the next process took the doubt for knowledge that only a change of each endpoint ended. Whatever ends
-// the process, calls resume once discovery has answered, and an endpoint that left in the broken answer gets none.
+// the process, calls resume once discovery has answered, and an endpoint that left in the broken answer gets none, also
+// if the process ends before it suspends its sends.
 func TestListDoubtEnds(t *testing.T) {
 	t.Parallel()
 	for _, test := range []struct {
@@ -22,6 +23,7 @@
 	}{
 		{"no restart", func(*drainEnvironment) {}},
 		{"SIGKILL", func(env *drainEnvironment) { env.kill(env.process); env.process = env.start() }},
+		{"SIGKILL before the suspension", func(env *drainEnvironment) { env.kill(env.process); env.process = env.start() }},
 		{"SIGTERM", (*drainEnvironment).restart},
 		{"two restarts", func(env *drainEnvironment) { env.restart(); env.restart() }},
 		{"upgrade", (*drainEnvironment).upgrade},
@@ -42,7 +44,9 @@
 				env := newDrainEnvironment(t, nil, time.Second, 1)
 				env.restartWithAdmin()
 				env.breakAnswer(left)
-				time.Sleep(1500 * time.Millisecond)
+				if test.name != "SIGKILL before the suspension" {
+					time.Sleep(1500 * time.Millisecond)
+				}
 				test.next(env)
 				time.Sleep(time.Second) // the grace of a drain is over
 				_, before := env.callStats()
--- a/internal/state/listcertainty.go
+++ b/internal/state/listcertainty.go
@@ -39,10 +39,17 @@
 	// endsAfter is the earliest time at which an uncertainty of an earlier process ends without an answer. Until then
 	// this process has not been able to poll discovery.
 	endsAfter time.Time
+	durable   bool // the next process must know of the uncertainty although sends are not suspended yet
 }
 
 // markUncertain records an answer that could not be read.
 func (c *listCertainty) markUncertain(at time.Time) {
+	c.markPaused(at)
+	c.durable = true
+}
+
+// markPaused records that polls pause, so that updates since a time are not known although all answers could be read.
+func (c *listCertainty) markPaused(at time.Time) {
 	if c.since.IsZero() {
 		c.since = at
 	}
@@ -88,7 +95,7 @@
 func (l *Loop) listKnown(pollPaused bool) {
 	l.certainty = listCertainty{}
 	if pollPaused {
-		l.certainty.markUncertain(l.now)
+		l.certainty.markPaused(l.now)
 	}
 	l.reviewList()
 }
@@ -132,7 +139,7 @@
 // is repeated.
 func (l *Loop) storeDepartures() {
 	var doubt endpointgroup.Doubt
-	if l.group.Suspended() && l.certainty.uncertain() {
+	if l.certainty.uncertain() && (l.group.Suspended() || l.certainty.durable && l.settings.DrainGrace > 0) {
 		base := l.wal.TimeBase()
 		doubt = endpointgroup.Doubt{Since: base.Stamp(l.certainty.since), Latest: base.Stamp(l.certainty.latest)}
 	}
