Tell the third process of a chain when the first one's attempts are lost

Cause: a doubt that is handed on, 'this attempt may have run', ends with its result or with the loss of its process. A process that has handed over dropped what it awaited from its own predecessor when that was lost, without telling its successor, unless nothing else was in flight.

Change: it forwards each such attempt as one whose connection was lost.

Result: TestLossIsForwarded failed before ('the third process was not told of the loss') and passes.

--- a/internal/handover/resultqueue.go
+++ b/internal/handover/resultqueue.go
@@ -21,11 +21,11 @@
 
 var _ state.Successor = (*ResultQueue)(nil)
 
-// RemoteResult adds the result of an attempt. A result without a target is not added; it only carries last.
+// RemoteResult adds the result of an attempt. The zero value is not added; it only carries last.
 func (q *ResultQueue) RemoteResult(r state.RemoteResult, last bool) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	if r.Target != "" {
+	if r != (state.RemoteResult{}) {
 		q.results = append(q.results, r)
 	}
 	q.last = q.last || last
--- a/internal/state/handover.go
+++ b/internal/state/handover.go
@@ -184,10 +184,7 @@
 			l.successor.RemoteResult(e, l.nothingInFlight())
 		}
 	case PredecessorLost:
-		l.remote = nil
-		if len(l.inFlight) == 0 {
-			l.successor.RemoteResult(RemoteResult{}, true)
-		}
+		l.forwardLoss()
 	case Submitted:
 		e.taken()
 		e.Response <- Response{RetryAfter: l.clientRetryAfter(stoppingRetryAfter)}
@@ -218,6 +215,19 @@
 	}
 }
 
+// forwardLoss forwards that the attempts of an earlier process may have run, as that process has ended. The successor must
+// not have to wait for the calls of this process to learn it.
+func (l *Loop) forwardLoss() {
+	for _, key := range l.remote.ordered() {
+		l.remote.remove(key)
+		lost := RemoteResult{Message: key.num, Attempt: key.attempt, Result: control.ConnectionLost}
+		l.successor.RemoteResult(lost, l.nothingInFlight())
+	}
+	if l.nothingInFlight() {
+		l.successor.RemoteResult(RemoteResult{}, true)
+	}
+}
+
 // handoverTime returns the time at which a handover state was made. It prefers the stamp, because a step of the clock
 // invalidates the wall time.
 func (l *Loop) handoverTime(s *HandoverState) time.Time {
--- a/internal/state/remote.go
+++ b/internal/state/remote.go
@@ -1,6 +1,12 @@
 package state
 
-import "cleathold/control"
+import (
+	"cmp"
+	"maps"
+	"slices"
+
+	"cleathold/control"
+)
 
 // remoteAttemptKey identifies an attempt that another process has in flight.
 type remoteAttemptKey struct {
@@ -19,6 +25,13 @@
 	return found
 }
 
+// ordered returns the keys of the attempts in the order of their messages.
+func (r remoteAttempts) ordered() []remoteAttemptKey {
+	return slices.SortedFunc(maps.Keys(r), func(a, b remoteAttemptKey) int {
+		return cmp.Or(cmp.Compare(a.num, b.num), cmp.Compare(a.attempt, b.attempt))
+	})
+}
+
 // calls returns the number of calls that carry the attempts. Each counts as one of the sender's calls in flight.
 func (r remoteAttempts) calls() int {
 	calls := map[int]bool{}
--- a/internal/state/remote_test.go
+++ b/internal/state/remote_test.go
@@ -1,6 +1,10 @@
 package state
 
-import "testing"
+import (
+	"testing"
+
+	"cleathold/control"
+)
 
 // TestRemoteAttempts checks that a call is in flight until the last of its attempts has ended, and each attempt ends
 // only once.
@@ -20,3 +24,44 @@
 		t.Error("nil remoteAttempts holds attempts")
 	}
 }
+
+// lossRecorder is a successor that records the results that it gets.
+type lossRecorder struct {
+	results chan RemoteResult
+	last    chan bool
+}
+
+func (r lossRecorder) RemoteResult(result RemoteResult, last bool) {
+	r.results <- result
+	r.last <- last
+}
+
+// TestLossIsForwarded guards against attempts that may have run and whose result nobody awaits any more: the first of
+// three processes is killed, and the second one, which has handed over, still has a call in flight for long. The third
+// must learn at once that the first one's attempts may have run.
+func TestLossIsForwarded(t *testing.T) {
+	dir := t.TempDir()
+	l, o := newTestLoop(t, dir, 1e6)
+	start(t, l)
+	o.submitAndReceiveCall(t, l, "first")
+	handedOver, _ := performHandover(t, l)
+	l2, o2 := newTestLoop(t, dir, 1e6)
+	l2.restoreHandover(&handedOver)
+	start(t, l2)
+	o2.submitAndReceiveCall(t, l2, "second")
+	done, third := make(chan HandoverResult, 1), lossRecorder{make(chan RemoteResult, 4), make(chan bool, 4)}
+	l2.Post(Handover{Successor: third, Done: done})
+	if s := receive(t, done); s.Err != nil || len(s.State.InFlight) != 2 {
+		t.Fatalf("%+v", s)
+	}
+	l2.Post(PredecessorLost{})
+	l2.Idle() // the event has been handled
+	select {
+	case r := <-third.results:
+		if !r.Result.MayHaveRun() || r.Result == control.Served || r.Final || <-third.last {
+			t.Errorf("%+v", r)
+		}
+	default:
+		t.Error("the third process was not told of the loss")
+	}
+}
