Free the slots of a predecessor's attempts when their messages are overdue

What callers saw: a predecessor that hangs without ending keeps the slots of its calls in flight at the successor for as long as it hangs; with all slots taken the successor sends nothing.

Cause: 'this call may be out' is handed on without a deadline. Only a result or the end of the predecessor ended it, though the messages themselves are ended by the loop 100 ms after their deadlines, when the attempts have timed out.

Change: the loop ends the attempts with the message.

Result: TestOverdueMessageEnds, 'in flight at a predecessor', failed before ('1 calls of the predecessor still take slots') and passes.

--- a/internal/state/overdue.go
+++ b/internal/state/overdue.go
@@ -45,6 +45,22 @@
 	mayHaveRun := len(e.mayHaveRun) > 0 || e.remoteInFlight > 0
 	l.endMessage(e.num, DeliveryReport{Deferred: !mayHaveRun})
 	l.releaseCall(e)
+	l.releaseRemote(e)
+}
+
+// releaseRemote gives up the attempts of a message that another process has in flight. They have timed out there, and
+// must not count as calls in flight until that process answers or ends.
+func (l *Loop) releaseRemote(e *entry) {
+	if e.remoteInFlight == 0 {
+		return
+	}
+	e.remoteInFlight = 0
+	for _, key := range l.remote.ordered() {
+		if key.num == e.num {
+			l.remote.remove(key)
+		}
+	}
+	l.controller.SetRemoteInFlight(l.sinceStart(), l.remote.calls())
 }
 
 // wakeForRemote schedules an iteration for the time at which a message of another process is overdue. The controller,
--- a/internal/state/overdue_test.go
+++ b/internal/state/overdue_test.go
@@ -87,6 +87,11 @@
 		successor.Connect(o, o, o)
 		start(t, successor)
 		expectReport(t, o, m)
+		calls := make(chan int, 1)
+		successor.Post(inspect(func() { calls <- successor.remote.calls() }))
+		if n := receive(t, calls); n != 0 {
+			t.Errorf("%d calls of the predecessor still take slots", n)
+		}
 	})
 }
 
