Review the certainty of the endpoint list when new settings come into force

What callers saw: after a SIGHUP with a shorter grace of drains, sends to endpoints that may have left went on until the old one's time; with a shorter poll interval they stayed suspended until the old one's.

Cause: the times of a doubt follow from the settings, but only the timer that the old settings had set looked at them again.

Change: new settings review it at once.

Result: TestUncertaintyUnderNewSettings failed before (not suspended) and passes.

--- a/internal/state/listcertainty_test.go
+++ b/internal/state/listcertainty_test.go
@@ -60,3 +60,24 @@
 	l.Post(ListUpdate{Kind: control.ListFull, Version: 2, Targets: []Target{target}})
 	receive(t, o.calls)
 }
+
+// TestUncertaintyUnderNewSettings guards against a suspension whose times are those of settings that are no longer in
+// force: with a shorter grace of drains it begins at once, with a shorter poll interval it ends at once.
+func TestUncertaintyUnderNewSettings(t *testing.T) {
+	l, _ := newTestLoop(t, t.TempDir(), 1e6)
+	l.settings.DrainGrace = 10 * time.Second
+	l.Step()
+	l.Step(ListUnreadable{StartedAt: l.now.Add(-2 * time.Second)})
+	for _, step := range []struct {
+		grace, pollInterval time.Duration
+		suspended           bool
+	}{{time.Second, time.Minute, true}, {time.Second, time.Second, false}} {
+		settings := l.settings
+		settings.DrainGrace, settings.MaxPollInterval = step.grace, step.pollInterval
+		done := make(chan SettingsResult, 1)
+		l.Step(UpdateSettings{Settings: settings, Done: done})
+		if r := <-done; r.Err != nil || l.group.Suspended() != step.suspended {
+			t.Errorf("%+v: suspended %t, %v", step, l.group.Suspended(), r.Err)
+		}
+	}
+}
--- a/internal/state/settings.go
+++ b/internal/state/settings.go
@@ -47,6 +47,7 @@
 	settings.Kinds = l.settings.Kinds
 	l.settings = settings
 	l.notifyClasses(numbers)
+	l.reviewList() // its times depend on the settings
 	return SettingsResult{Numbers: numbers, Classes: settings.Classes}
 }
 
