Leave a doubt behind when a poll is canceled within its response

What callers saw: nothing was seen in service. A change counts as told from the first byte of its response; if the process hands over, stops, or polls another address just then, nobody knew that one had begun.

Cause: the discovery client dropped whatever a canceled poll had received.

Change: it reports such a response as unreadable before it ends, for lists that are asked for and for pushed ones. A process that stops handles the events that were posted before it closes.

Result: TestInterruptedResponse failed before (no event in 10 s) and passes.

--- a/internal/lifecycle/server.go
+++ b/internal/lifecycle/server.go
@@ -175,6 +175,7 @@
 	s.machine.advance(stopping)
 	s.finishCalls(signaledAt)
 	s.stopControlTasks()
+	s.loop.AwaitEvents(signaledAt.Add(exitTimeout)) // an interrupted poll may have left a doubt for the next process
 	s.deliveryTasks.cancel()
 	s.deliveryTasks.Wait()
 	select {
--- a/internal/protocol/agentpoller.go
+++ b/internal/protocol/agentpoller.go
@@ -50,6 +50,7 @@
 		update, err := p.poll(pollCtx, client, p.current)
 		switch {
 		case pollCtx.Err() != nil: // the address changed; a response that arrived at the same time is ignored
+			p.reportInterrupted(&p.current, err)
 		case err != nil:
 			p.handleFailure(pollCtx, err, startedAt)
 		case !p.current.fullList() && update.Version < p.current.since:
--- a/internal/protocol/discovery.go
+++ b/internal/protocol/discovery.go
@@ -143,6 +143,7 @@
 		update, err := d.poll(pollCtx, client, current)
 		switch {
 		case pollCtx.Err() != nil: // the address changed; a response that arrived at the same time is ignored
+			d.reportInterrupted(&current, err)
 			current.watch, current.fetch = false, false // SetAddress has queued the request for the new address
 		case err != nil:
 			d.handleFailure(pollCtx, &current, err)
@@ -257,6 +258,14 @@
 	current.uncertainSince = broken.startedAt
 }
 
+// reportInterrupted reports the response of a poll that was canceled, if it had begun: what it tells is not known.
+func (d *Discovery) reportInterrupted(current *pollRequest, err error) {
+	var broken *brokenResponseError
+	if errors.As(err, &broken) {
+		d.reportBroken(current, broken)
+	}
+}
+
 // shouldRepollAtOnce reports whether a watch continues immediately after this error.
 func (d *Discovery) shouldRepollAtOnce(err error) bool {
 	return errors.Is(err, errNoResponse) || errors.Is(err, errConnectionEnded) && d.PollSpread == 0
--- a/internal/protocol/discovery_test.go
+++ b/internal/protocol/discovery_test.go
@@ -333,3 +333,30 @@
 		t.Errorf("%q was sent", b)
 	}
 }
+
+// TestInterruptedResponse guards against a change that nobody knows of: a response has begun when its poll is canceled, as
+// the address changes or another process takes over. What it tells counts as known from its first byte on.
+func TestInterruptedResponse(t *testing.T) {
+	for _, pushed := range []bool{false, true} {
+		begun := make(chan struct{}, 1)
+		addr := socktest.Accept(t, func(_ int, c *net.TCPConn) {
+			io.WriteString(c, "HTTP/1.1 200 OK\r\n")
+			begun <- struct{}{}
+		})
+		recorder := newEventRecorder()
+		d := NewDiscovery(recorder, DiscoveryConfig{
+			Addr: addr, MaxPollInterval: 10 * time.Second, Pushed: pushed, Names: testNames, Log: discardLog,
+		})
+		ctx, cancel := context.WithCancel(t.Context())
+		ended := make(chan struct{})
+		go func() { defer close(ended); d.Run(ctx) }()
+		d.Watch(true, 4)
+		<-begun
+		time.Sleep(50 * time.Millisecond) // the first bytes are read
+		cancel()
+		<-ended
+		if u := next[state.ListUnreadable](t, recorder); time.Since(u.StartedAt) > time.Second {
+			t.Errorf("pushed %t: %+v", pushed, u)
+		}
+	}
+}
--- a/internal/state/loop.go
+++ b/internal/state/loop.go
@@ -218,6 +218,21 @@
 	}
 }
 
+// AwaitEvents waits until all events that were posted before have been handled, but no longer than until limit.
+func (l *Loop) AwaitEvents(limit time.Time) {
+	handled := make(chan struct{})
+	if !l.PostBefore(inspect(func() { close(handled) }), limit) {
+		return
+	}
+	timer := time.NewTimer(time.Until(limit))
+	defer timer.Stop()
+	select {
+	case <-handled:
+	case <-timer.C:
+	case <-l.finished:
+	}
+}
+
 // Drained reports the same as Idle, for a caller of Step.
 func (l *Loop) Drained() bool {
 	if l.successor != nil {
