Soak: end processes while the list is in doubt, and find senders that send nothing

It replaces endpoints all the time, which ends each doubt; its processes started with no list, so that each polled the full one; and no rule is broken by a sender that reports all in time, unsent.

A sender fails that sends less than half of what it takes on 6 s after all troubles. The cases of other seeds and options are as before.

--- a/cmd/cleathold/labsoak.go
+++ b/cmd/cleathold/labsoak.go
@@ -27,6 +27,7 @@
 	Length  time.Duration `help:"Traffic and faults go on for so long." default:"20s"`
 	Rate    float64       `help:"Messages a second for each sender." default:"6"`
 	Calls   bool          `help:"Have system calls of some senders fail; needs strace."`
+	Doubts  bool          `help:"Other cases: discovery breaks off answers and goes down, and processes end before it is back."`
 	Out     string        `help:"Folder for what the processes of unsound cases wrote." default:"."`
 	Program string        `help:"The senders' program; without it this one." type:"existingfile"`
 	Show    bool          `help:"Write what is drawn and play nothing."`
@@ -37,7 +38,7 @@
 	if c.Seeds < 1 || c.Jobs < 1 || c.Senders < 2 || c.Length < 5*time.Second || !(c.Rate > 0) {
 		return errors.New("--seeds and --jobs must be at least 1, --senders at least 2, --length at least 5s, --rate above 0")
 	}
-	options := soak.Options{Senders: c.Senders, Length: c.Length, Rate: c.Rate}
+	options := soak.Options{Senders: c.Senders, Length: c.Length, Rate: c.Rate, ListDoubts: c.Doubts}
 	var err error
 	if c.Calls {
 		if options.Strace, err = exec.LookPath("strace"); err != nil {
--- a/internal/harness/agent.go
+++ b/internal/harness/agent.go
@@ -51,10 +51,23 @@
 func (env *Environment) KnownList(sender int) []any {
 	env.mu.Lock()
 	defer env.mu.Unlock()
-	lines, _ := env.simulated.FullList(0, sender)
-	list := []any{}
+	return env.knownList(0, sender).Servers
+}
+
+// heldList returns the endpoint list as a sender last held it.
+func (env *Environment) heldList(sender int) knownList {
+	env.mu.Lock()
+	defer env.mu.Unlock()
+	return env.heldLists[sender]
+}
+
+// knownList returns the endpoint list that discovery returns to a sender, in the form of the configuration. The caller
+// must hold env.mu.
+func (env *Environment) knownList(now time.Duration, sender int) knownList {
+	lines, version := env.simulated.FullList(now, sender)
+	list := knownList{Full: true, Servers: []any{}, Version: version}
 	for _, l := range lines {
-		list = append(list, env.listedServer(sender, l))
+		list.Servers = append(list.Servers, env.listedServer(sender, l))
 	}
 	return list
 }
--- a/internal/harness/discovery.go
+++ b/internal/harness/discovery.go
@@ -197,6 +197,9 @@
 		return a
 	}
 	a.body = env.encodeList(p.sender, lines, version, full)
+	if a.failure == "" && env.faults.HeldLists {
+		env.heldLists[p.sender] = env.knownList(now, p.sender)
+	}
 	env.simulated.Polled(now, p.sender, false, false)
 	return a
 }
--- a/internal/harness/environment.go
+++ b/internal/harness/environment.go
@@ -48,6 +48,7 @@
 	agentVersions       []int64                        // by sender: list version of which its agent notified it
 	links               *netfault.Net                  // nil if no proxied links are used
 	lag                 *hdrhistogram.Histogram
+	heldLists           []knownList // by sender: as of its last complete answer; see Faults.HeldLists
 	faults              Faults
 	faultRNG            *rand.Rand                                               // decides which discovery answers fail
 	onReport            func(id string, deferred bool, retryAfter time.Duration) // called for each delivery report
@@ -75,6 +76,7 @@
 		linksChanged:   make(chan struct{}),
 		discoveryCut:   make([]bool, p.Scenario.Senders),
 		agentVersions:  make([]int64, p.Scenario.Senders),
+		heldLists:      make([]knownList, p.Scenario.Senders),
 		lag:            newLagHistogram(),
 		faultRNG:       rand.New(rand.NewPCG(p.Seed, 96)),
 		onReport:       func(string, bool, time.Duration) {},
--- a/internal/harness/faults.go
+++ b/internal/harness/faults.go
@@ -20,12 +20,22 @@
 	WatchTail bool
 	// KnownLists makes the configuration of each sender list the endpoints of the beginning of the run.
 	KnownLists bool
+	// HeldLists makes the configuration of each process but the first one list the endpoints as its sender last held them
+	// (DEPLOY, "known").
+	HeldLists bool
+	Upgrades  []Upgrade
 	// WrapCommand returns the command that starts a sender's program; nil starts the program itself.
 	WrapCommand func(sender int, program string) []string
 	// Sockets limits the number of file descriptors of a sender; 0 = 1,024.
 	Sockets int
 }
 
+// An Upgrade is a new process of a sender that takes over from the one that serves.
+type Upgrade struct {
+	At     time.Duration
+	Sender int
+}
+
 // An AnswerFailure is a failure mode of a discovery answer.
 type AnswerFailure string
 
--- a/internal/harness/process.go
+++ b/internal/harness/process.go
@@ -139,6 +139,11 @@
 	return cmd
 }
 
+// setKnown replaces the endpoint list in the configuration.
+func (p *Process) setKnown(list knownList) error {
+	return editConfig(p.configPath(), func(config map[string]any) { config["known"] = list })
+}
+
 // Ended returns a channel that is closed when the current process has ended. It returns nil before the first start.
 func (p *Process) Ended() <-chan struct{} {
 	p.mu.Lock()
@@ -270,7 +275,7 @@
 
 // sendOrder sends an operator's order to the admin API of the process.
 func (p *Process) sendOrder(verb string) error {
-	request, err := http.NewRequest(http.MethodPut, "http://"+p.spec.Admin+"/v1/sender/"+verb, nil)
+	request, err := http.NewRequest(http.MethodPut, "http://"+p.adminAddr()+"/v1/sender/"+verb, nil)
 	if err != nil {
 		return err
 	}
--- a/internal/harness/process_config.go
+++ b/internal/harness/process_config.go
@@ -79,6 +79,11 @@
 // Reconfigure replaces the settings in an existing configuration file by those of a planned action. All other keys stay
 // unchanged, including keys that Configure did not write.
 func Reconfigure(path string, a scenario.PlannedAction, p *scenario.Plan) error {
+	return editConfig(path, func(config map[string]any) { config["settings"] = simulation.UpdatedSettings(p, a) })
+}
+
+// editConfig replaces an existing configuration file by one with changes.
+func editConfig(path string, edit func(config map[string]any)) error {
 	text, err := os.ReadFile(path)
 	if err != nil {
 		return fmt.Errorf("harness: %w", err)
@@ -87,7 +92,7 @@
 	if err := json.Unmarshal(text, &config); err != nil {
 		return fmt.Errorf("harness: %s: %w", path, err)
 	}
-	config["settings"] = simulation.UpdatedSettings(p, a)
+	edit(config)
 	return writeConfig(path, config)
 }
 
--- a/internal/harness/supervise.go
+++ b/internal/harness/supervise.go
@@ -21,7 +21,7 @@
 func (r *run) supervise(number int) {
 	s := &supervisor{run: r, process: r.processes[number], number: number}
 	env := r.env
-	actions := s.dueActions()
+	actions, upgrades := s.dueActions(), s.dueUpgrades()
 	for env.ctx.Err() == nil {
 		select {
 		case <-env.ctx.Done():
@@ -35,6 +35,16 @@
 				continue
 			}
 			r.countRestart(false)
+		case _, ok := <-upgrades:
+			if !ok {
+				upgrades = nil
+				continue
+			}
+			if s.upgrade() {
+				continue
+			}
+			s.recordDown("")
+			r.countRestart(true)
 		case <-s.process.Ended():
 			s.recordDown("")
 			r.countRestart(true)
@@ -86,6 +96,12 @@
 		return false
 	}
 	s.run.clients.SetDraining(s.number, false) // a drain order does not survive a restart
+	if list := env.heldList(s.number); len(list.Servers) > 0 {
+		if err := s.process.setKnown(list); err != nil {
+			env.cancel(err)
+			return false
+		}
+	}
 	if err := s.process.Start(); err != nil {
 		env.cancel(err)
 		return false
--- a/internal/soak/draw.go
+++ b/internal/soak/draw.go
@@ -19,6 +19,9 @@
 	Length  time.Duration // of the traffic and the faults
 	Rate    float64       // messages per second for each sender
 	Strace  string        // path of strace; if empty, no faults are injected into system calls
+
+	// ListDoubts selects cases in which processes end while the endpoint list is in doubt. See listDoubtScript.
+	ListDoubts bool
 }
 
 // Case is a test case that was generated from a seed.
@@ -28,6 +31,7 @@
 	Senders     int
 	Faults      harness.Faults
 	MemoryMB    float64        // memory limit of each sender
+	SettledAt   time.Duration  // from then on there is no trouble, and the senders must send; 0: always some
 	SystemCalls map[int]string // by sender: the fault that strace injects, in strace's syntax
 	Notes       []string       // descriptions of the faults that are not in the script
 }
@@ -42,6 +46,7 @@
 	drawResponses
 	drawTraffic
 	drawAbuse
+	drawListDoubts
 )
 
 // partDraw generates one part of a case from its random stream.
@@ -65,7 +70,15 @@
 	site := deployments[seed%uint64(len(deployments))]
 	c.addNote("deployment: %s", site.name)
 	c.Faults.KnownLists = site.pushedLists
-	c.Script = script(part(drawScript), c.Senders, o, site, traffic(part(drawTraffic), rate))
+	traffic := traffic(part(drawTraffic), rate)
+	if o.ListDoubts {
+		c.Script = c.listDoubtScript(part(drawListDoubts), site, traffic)
+		if o.Strace != "" {
+			c.drawCalls(part(drawCalls), o.Strace)
+		}
+		return c
+	}
+	c.Script = script(part(drawScript), c.Senders, o, site, traffic)
 	c.drawAnswers(part(drawAnswers), site)
 	c.drawResponses(part(drawResponses))
 	c.drawAbuse(part(drawAbuse))
@@ -194,7 +207,6 @@
 
 // drawAnswers generates the faults in the responses of discovery and the behavior of the clients.
 func (c *Case) drawAnswers(d partDraw, site deployment) {
-	seconds := func(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
 	for range 1 + d.IntN(4) {
 		at := d.begin()
 		f := harness.AnswerFault{From: seconds(at), To: seconds(at + d.between(0.5, 5)), Fraction: d.between(0.3, 1)}
@@ -221,7 +233,6 @@
 
 // drawResponses generates responses that come twice, too early, too late, too long or too short.
 func (c *Case) drawResponses(d partDraw) {
-	seconds := func(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
 	for range 2 + d.IntN(4) {
 		at := d.begin()
 		f := harness.ResponseFault{From: seconds(at), To: seconds(at + d.between(1, 8)), Fraction: d.between(0.05, 0.6)}
@@ -244,7 +255,6 @@
 // drawAbuse generates peers that misuse the senders: clients in half of the cases, some with halved limits; discovery,
 // and endpoints, in a third of them each.
 func (c *Case) drawAbuse(d partDraw) {
-	seconds := func(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
 	span := func(longest float64) (from, to time.Duration) {
 		at := d.begin()
 		return seconds(at), seconds(at + d.between(2, longest))
--- a/internal/soak/draw_test.go
+++ b/internal/soak/draw_test.go
@@ -1,10 +1,12 @@
 package soak
 
 import (
+	"fmt"
 	"strings"
 	"testing"
 	"time"
 
+	"cleathold/internal/audit"
 	"cleathold/internal/scenario"
 )
 
@@ -34,3 +36,49 @@
 		}
 	}
 }
+
+// TestDrawListDoubts checks that all cases with doubts about the list can be played, that all troubles in them are over
+// when the senders are judged, and that processes end in each way, also more than once.
+func TestDrawListDoubts(t *testing.T) {
+	seen := map[string]int{}
+	for seed := range uint64(40) {
+		c := Draw(seed, Options{Senders: 10, Length: 12 * time.Second, Rate: 6, ListDoubts: true})
+		s, err := scenario.Parse("s.star", []byte(c.Script), nil)
+		if err != nil {
+			t.Fatalf("seed %d: %v", seed, err)
+		}
+		plan := s.Plan(seed)
+		for _, outage := range plan.DiscoveryOutages {
+			if outage.To > c.SettledAt-recoveryTime {
+				t.Errorf("seed %d: discovery is down until %v", seed, outage.To)
+			}
+		}
+		for _, what := range []string{"kill", "term", "signals"} {
+			seen[what] += min(1, strings.Count(c.Script, `"`+what+`"`))
+		}
+		seen["upgrade"] += min(1, len(c.Faults.Upgrades))
+		seen["churn"] += strings.Count(c.Script, "churn(")
+		seen["crowd"] += len(c.Faults.IdleClients)
+	}
+	for _, what := range []string{"kill", "term", "signals", "upgrade", "churn", "crowd"} {
+		if seen[what] < 5 {
+			t.Errorf("%s: in %d of 40 cases", what, seen[what])
+		}
+	}
+}
+
+// TestServiceCheck checks that a sender is found that sends less than half of what it takes on after all troubles.
+func TestServiceCheck(t *testing.T) {
+	s := newServiceCheck(time.Second)
+	for i := range 2 * minJudged {
+		id := fmt.Sprint(i)
+		s.read(audit.Event{At: 0, Kind: audit.Accepted, Sender: 3, Message: "early" + id})
+		s.read(audit.Event{At: time.Second, Kind: audit.Accepted, Sender: i % 2, Message: id})
+		if i%2 == 0 || i < minJudged/2 {
+			s.read(audit.Event{At: 2 * time.Second, Kind: audit.Sent, Sender: i % 2, Messages: []string{id}})
+		}
+	}
+	if failed := s.failed(); len(failed) != 1 || failed[0].sender != 1 || failed[0].accepted != minJudged {
+		t.Errorf("%+v", failed)
+	}
+}
--- a/internal/soak/play.go
+++ b/internal/soak/play.go
@@ -45,7 +45,11 @@
 	writer := bufio.NewWriter(events)
 	defer writer.Flush()
 	encoder := json.NewEncoder(writer)
-	sink := func(e audit.Event) error { return encoder.Encode(e) }
+	service := newServiceCheck(c.SettledAt)
+	sink := func(e audit.Event) error {
+		service.read(e)
+		return encoder.Encode(e)
+	}
 	result, err := harness.Run(ctx, harness.Setup{Plan: s.Plan(c.Seed), Program: program, Folder: folder, Log: log,
 		Faults: c.Faults, MemoryMB: c.MemoryMB, Sink: sink})
 	if err != nil {
@@ -56,6 +60,9 @@
 		r.addFinding("%v sender %d: %s: %s (message %s, calls %v, times %v)", v.At, v.Sender, v.Rule, v.Text, v.Message,
 			v.Calls, v.Times)
 	}
+	for _, s := range service.failed() {
+		r.addFinding("sender %d sent %d of the %d messages that it took on after all troubles", s.sender, s.sent, s.accepted)
+	}
 	if result.Crashes > 0 {
 		r.addFinding("%d processes ended without being told to", result.Crashes)
 	}
