Store a doubt while a slow response of discovery is being read

What callers saw: calls to an endpoint that drained, after its grace: the process was killed while it read the response that told of it, which stalled, and discovery was silent afterwards.

Cause: a change counts as told from the first byte of its response, but a doubt was stored only once the response was known to be broken: up to 300 ms after a stall, up to half the grace of drains for one that comes in pieces.

Change: a response that is incomplete 10 ms after its first byte is announced to the event loop, which stores the doubt for the next process until the response is over. Suspension in the process itself is as before.

--- a/cmd/cleathold/discoverystub_test.go
+++ b/cmd/cleathold/discoverystub_test.go
@@ -31,6 +31,7 @@
 	faultyUntil   time.Time                         // all answers with the change fail until this time
 	fail          func(c *net.TCPConn, text string) // writes an answer that fails
 	silent        atomic.Bool                       // polls are not answered
+	stalls        bool                              // connections of answers that are cut off stay open
 	truncated     chan struct{}                     // closed by an answer that is cut off; nil: none is
 }
 
@@ -127,7 +128,9 @@
 	if stub.truncated != nil && !hasEnded(c) {
 		stub.silent.Store(true)
 		io.WriteString(c, text[:truncatedBytes])
-		c.Close()
+		if !stub.stalls {
+			c.Close()
+		}
 		close(stub.truncated)
 		stub.truncated = nil
 		return false
--- a/cmd/cleathold/listdoubt_test.go
+++ b/cmd/cleathold/listdoubt_test.go
@@ -6,6 +6,7 @@
 	"os/exec"
 	"path/filepath"
 	"slices"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -24,6 +25,7 @@
 		{"no restart", func(*drainEnvironment) {}},
 		{"SIGKILL", func(env *drainEnvironment) { env.kill(env.process); env.process = env.start() }},
 		{"SIGKILL before the suspension", func(env *drainEnvironment) { env.kill(env.process); env.process = env.start() }},
+		{"SIGKILL within the answer", func(env *drainEnvironment) { env.kill(env.process); env.process = env.start() }},
 		{"SIGTERM", (*drainEnvironment).restart},
 		{"two restarts", func(env *drainEnvironment) { env.restart(); env.restart() }},
 		{"upgrade", (*drainEnvironment).upgrade},
@@ -43,8 +45,9 @@
 				t.Parallel()
 				env := newDrainEnvironment(t, nil, time.Second, 1)
 				env.restartWithAdmin()
+				env.stalls = test.name == "SIGKILL within the answer"
 				env.breakAnswer(left)
-				if test.name != "SIGKILL before the suspension" {
+				if !strings.HasPrefix(test.name, "SIGKILL ") {
 					time.Sleep(1500 * time.Millisecond)
 				}
 				test.next(env)
--- a/internal/protocol/agentpoller.go
+++ b/internal/protocol/agentpoller.go
@@ -50,7 +50,7 @@
 		update, err := p.poll(pollCtx, client, p.current)
 		switch {
 		case pollCtx.Err() != nil: // the address changed; a response that arrived at the same time is ignored
-			p.reportInterrupted(&p.current, err)
+			p.reportInterrupted(pollCtx, &p.current, err)
 		case err != nil:
 			p.handleFailure(pollCtx, err, startedAt)
 		case !p.current.fullList() && update.Version < p.current.since:
@@ -58,8 +58,10 @@
 			p.current.since = state.NoVersion
 		default:
 			p.handleUpdate(update, startedAt)
+			p.endResponse()
 			sleepUntil(pollCtx, startedAt.Add(p.interval()))
 		}
+		p.endResponse()
 		cancel()
 	}
 }
--- a/internal/protocol/discovery.go
+++ b/internal/protocol/discovery.go
@@ -67,10 +67,12 @@
 	events   EventPoster
 	requests chan pollRequest
 
+	responseBegan bool // ListResponseBegan was posted for the current poll; its slowResponseTimer orders the accesses
+
 	mu         sync.Mutex
 	addr       string
-	cancelPoll context.CancelFunc // cancels the current poll
-	newTimings *PollTimings       // set by SetTimings until the next poll; nil: unchanged
+	cancelPoll context.CancelCauseFunc // cancels the current poll
+	newTimings *PollTimings            // set by SetTimings until the next poll; nil: unchanged
 }
 
 // NewDiscovery returns a discovery client. It doesn't poll before Run is called.
@@ -108,7 +110,7 @@
 	d.mu.Lock()
 	d.addr = addr
 	if d.cancelPoll != nil {
-		d.cancelPoll()
+		d.cancelPoll(&addressChangedError{time.Now()})
 	}
 	d.mu.Unlock()
 	d.requests <- pollRequest{watch: true, since: state.NoVersion, uncertainSince: time.Now()}
@@ -121,12 +123,25 @@
 	if t := d.newTimings; t != nil {
 		d.MaxPollInterval, d.PollSpread, d.DrainGrace, d.newTimings = t.MaxPollInterval, t.PollSpread, t.DrainGrace, nil
 	}
-	ctx, d.cancelPoll = context.WithCancel(ctx)
+	ctx, d.cancelPoll = context.WithCancelCause(ctx)
+	cancel := d.cancelPoll
 	client := &httpClient{
 		addr: d.addr, maxBody: maxListBytes, dial: httpconn.Dial,
 		pacing: readPacing{maxGap: maxResponseGap, maxDuration: d.maxResponseTime()},
+		onSlowResponse: func(startedAt time.Time) {
+			d.responseBegan = true
+			d.events.Post(state.ListResponseBegan{StartedAt: startedAt})
+		},
 	}
-	return ctx, d.cancelPoll, client
+	return ctx, func() { cancel(nil) }, client
+}
+
+// An addressChangedError is the cause of the cancellation of a poll by SetAddress.
+type addressChangedError struct{ at time.Time }
+
+// Error returns a message with the time.
+func (e *addressChangedError) Error() string {
+	return "address of discovery changed at " + e.at.String()
 }
 
 // Run polls as requested until the context is done. A watch polls again after each response until a poll fails. The
@@ -143,7 +158,7 @@
 		update, err := d.poll(pollCtx, client, current)
 		switch {
 		case pollCtx.Err() != nil: // the address changed; a response that arrived at the same time is ignored
-			d.reportInterrupted(&current, err)
+			d.reportInterrupted(pollCtx, &current, err)
 			current.watch, current.fetch = false, false // SetAddress has queued the request for the new address
 		case err != nil:
 			d.handleFailure(pollCtx, &current, err)
@@ -154,10 +169,19 @@
 		default:
 			d.handleUpdate(pollCtx, &current, update, startedAt)
 		}
+		d.endResponse()
 		cancel()
 	}
 }
 
+// endResponse posts that a response that has begun is over. What it told was posted before, if it told anything.
+func (d *Discovery) endResponse() {
+	if d.responseBegan {
+		d.responseBegan = false
+		d.events.Post(state.ListResponseEnded{})
+	}
+}
+
 func (d *Discovery) logOlderVersion(since, version int64) {
 	d.Log.Warn("discovery returned an older list version, polling the full list", "since", since, "version", version)
 }
@@ -258,12 +282,17 @@
 	current.uncertainSince = broken.startedAt
 }
 
-// reportInterrupted reports the response of a poll that was canceled, if it had begun: what it tells is not known.
-func (d *Discovery) reportInterrupted(current *pollRequest, err error) {
+// reportInterrupted reports the response of a poll that was canceled, if it had begun before: what it tells is not known.
+func (d *Discovery) reportInterrupted(ctx context.Context, current *pollRequest, err error) {
 	var broken *brokenResponseError
-	if errors.As(err, &broken) {
-		d.reportBroken(current, broken)
+	if !errors.As(err, &broken) {
+		return
+	}
+	var moved *addressChangedError
+	if errors.As(context.Cause(ctx), &moved) && broken.startedAt.After(moved.at) {
+		return
 	}
+	d.reportBroken(current, broken)
 }
 
 // shouldRepollAtOnce reports whether a watch continues immediately after this error.
--- a/internal/protocol/discovery_test.go
+++ b/internal/protocol/discovery_test.go
@@ -1,6 +1,7 @@
 package protocol
 
 import (
+	"bufio"
 	"context"
 	"errors"
 	"fmt"
@@ -360,3 +361,35 @@
 		}
 	}
 }
+
+// TestSlowResponse guards against a process that ends while it reads a response, and leaves no doubt about what that told:
+// a slow response is announced, and its end is posted after what it told.
+func TestSlowResponse(t *testing.T) {
+	for _, pushed := range []bool{false, true} {
+		addr := socktest.Accept(t, func(_ int, c *net.TCPConn) {
+			http.ReadRequest(bufio.NewReader(c))
+			text := socktest.JSON(changedList)
+			io.WriteString(c, text[:40])
+			time.Sleep(20 * slowResponseDelay)
+			io.WriteString(c, text[40:])
+			c.Close()
+		})
+		recorder := newEventRecorder()
+		d := startDiscovery(t, recorder, DiscoveryConfig{Addr: addr, MaxPollInterval: 10 * time.Second, Pushed: pushed})
+		d.Watch(true, 4)
+		for i, isNext := range []func(e state.Event) bool{
+			func(e state.Event) bool { _, ok := e.(state.ListResponseBegan); return ok },
+			func(e state.Event) bool { _, ok := e.(state.ListUpdate); return ok },
+			func(e state.Event) bool { _, ok := e.(state.ListResponseEnded); return ok },
+		} {
+			select {
+			case e := <-recorder.events:
+				if !isNext(e) {
+					t.Errorf("pushed %t, event %d: %T", pushed, i, e)
+				}
+			case <-time.After(10 * time.Second):
+				t.Fatalf("pushed %t, event %d: none", pushed, i)
+			}
+		}
+	}
+}
--- a/internal/protocol/helpers_test.go
+++ b/internal/protocol/helpers_test.go
@@ -229,16 +229,30 @@
 	t.Cleanup(func() { cancel(); <-ended })
 }
 
-// next returns the next event. The timeout is long enough that it only expires if no event is posted at all.
+// next returns the next event, without those that a slow response begins and ends. The timeout is long enough that it only
+// expires if no event is posted at all.
 func next[T any](t *testing.T, recorder *eventRecorder) T {
 	t.Helper()
-	select {
-	case e := <-recorder.events:
-		return e.(T)
-	case <-time.After(10 * time.Second):
-		t.Fatal("no event was posted")
-		panic("unreachable")
+	for {
+		select {
+		case e := <-recorder.events:
+			if isSlowResponse(e) {
+				continue
+			}
+			return e.(T)
+		case <-time.After(10 * time.Second):
+			t.Fatal("no event was posted")
+		}
+	}
+}
+
+// isSlowResponse reports whether an event says that a slow response has begun or is over.
+func isSlowResponse(e state.Event) bool {
+	switch e.(type) {
+	case state.ListResponseBegan, state.ListResponseEnded:
+		return true
 	}
+	return false
 }
 
 // callTo returns a call with these messages to an address. Each attempt ends after the timeout.
--- a/internal/protocol/httpclient.go
+++ b/internal/protocol/httpclient.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"os"
 	"strconv"
+	"sync"
 	"syscall"
 	"time"
 
@@ -24,7 +25,10 @@
 	addr    string
 	maxBody int64      // maximum size of a response's body in bytes
 	pacing  readPacing // limits for reading a response; if zero, only the request's deadline applies
-	dial    func(ctx context.Context, addr string) (*httpconn.Conn, error)
+	// onSlowResponse, if set, is called once if a response is incomplete slowResponseDelay after its first byte. It is
+	// not called after do has returned.
+	onSlowResponse func(startedAt time.Time)
+	dial           func(ctx context.Context, addr string) (*httpconn.Conn, error)
 }
 
 // A readPacing limits the time for reading a response from its first byte on, independently of the request's deadline.
@@ -33,6 +37,9 @@
 	maxDuration time.Duration // maximum time for the whole response
 }
 
+// slowResponseDelay is how long after its first byte a response is slow.
+const slowResponseDelay = 10 * time.Millisecond
+
 // errEarlyClose is returned for a connection that the server closed before the request.
 var errEarlyClose = errors.New("connection closed before the request")
 
@@ -80,8 +87,13 @@
 func (h *httpClient) readExchange(ctx context.Context, c *httpconn.Conn, method string) (exchange, error) {
 	options := httpconn.ReadOptions{Method: method, MaxBody: h.maxBody}
 	paced := false
+	var slow slowResponseTimer
+	defer slow.stop()
 	options.Await = func([]httpconn.Response) error {
 		_, err := c.Reader.Peek(1)
+		if err == nil && h.onSlowResponse != nil {
+			slow.start(h.onSlowResponse)
+		}
 		if err == nil && h.pacing.maxGap > 0 && !paced {
 			paced = true
 			c.Through(&pacedReader{
@@ -99,6 +111,39 @@
 	return e, nil
 }
 
+// A slowResponseTimer calls a function slowResponseDelay after the first byte of a response, unless it is stopped before.
+type slowResponseTimer struct {
+	mu      sync.Mutex
+	timer   *time.Timer // nil: not started
+	stopped bool
+}
+
+// start starts the timer at the first byte. Later calls have no effect.
+func (s *slowResponseTimer) start(onSlow func(startedAt time.Time)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.timer != nil {
+		return
+	}
+	startedAt := time.Now()
+	s.timer = time.AfterFunc(slowResponseDelay, func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		if !s.stopped {
+			onSlow(startedAt)
+		}
+	})
+}
+
+// stop stops the timer. The function is not called afterwards.
+func (s *slowResponseTimer) stop() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.stopped = true; s.timer != nil {
+		s.timer.Stop()
+	}
+}
+
 // readEarlyInput reads what a server sent before the request, which is not sent. It answers no request, but the sender
 // may count as notified of its content.
 func (h *httpClient) readEarlyInput(c *httpconn.Conn) (exchange, error) {
--- a/internal/state/endpoints.go
+++ b/internal/state/endpoints.go
@@ -56,6 +56,24 @@
 	l.reviewList()
 }
 
+// ListResponseBegan is the event that a response of discovery has begun, at StartedAt, and is not complete yet. If the
+// process ends now, the next one must know that the response may have told of changes. ListResponseEnded follows.
+type ListResponseBegan struct{ StartedAt time.Time }
+
+func (e ListResponseBegan) apply(l *Loop) {
+	l.certainty.responseSince = e.StartedAt
+	l.storeDepartures()
+}
+
+// ListResponseEnded is the event that a response that had begun is over. An event with what it told, or that it could not
+// be read, was posted before.
+type ListResponseEnded struct{}
+
+func (e ListResponseEnded) apply(l *Loop) {
+	l.certainty.responseSince = time.Time{}
+	l.storeDepartures()
+}
+
 // PollFailed is the event that the poll after a pause failed, so that list updates since a time may have been missed.
 type PollFailed struct{ UncertainSince time.Time }
 
--- a/internal/state/event.go
+++ b/internal/state/event.go
@@ -5,8 +5,8 @@
 //
 //	Submitted, ResponseWritten                    admission.go
 //	CallEnded, ReportsAcknowledged                outcome.go
-//	ListUpdate, ListUnreadable,
-//	PollFailed, ExclusionsChanged, HealthChecked,
+//	ListUpdate, ListUnreadable, ListResponseBegan,
+//	ListResponseEnded, PollFailed, ExclusionsChanged, HealthChecked,
 //	GossipReceived                                endpoints.go
 //	Redelivery, DeadLettersStored                 redelivery.go, deadletter.go
 //	UpdateSettings                                settings.go
--- a/internal/state/interfaces.go
+++ b/internal/state/interfaces.go
@@ -17,7 +17,8 @@
 	HealthCheck(t Target, deadline time.Time)
 }
 
-// Discovery polls the discovery service. It posts ListUpdate, ListUnreadable and PollFailed.
+// Discovery polls the discovery service. It posts ListUpdate, ListUnreadable, ListResponseBegan, ListResponseEnded and
+// PollFailed.
 type Discovery interface {
 	Watch(on bool, since int64)
 	Fetch()
--- a/internal/state/listcertainty.go
+++ b/internal/state/listcertainty.go
@@ -39,7 +39,12 @@
 	// endsAfter is the earliest time at which an uncertainty of an earlier process ends without an answer. Until then
 	// this process has not been able to poll discovery.
 	endsAfter time.Time
-	durable   bool // the next process must know of the uncertainty although sends are not suspended yet
+
+	// responseSince is when the first byte of a response arrived that is not complete yet; zero: there is none. It matters
+	// only to the next process, as this one will have read the response or found that it can't.
+	responseSince time.Time
+
+	durable bool // the next process must know of the uncertainty although sends are not suspended yet
 }
 
 // markUncertain records an answer that could not be read.
@@ -58,6 +63,21 @@
 	}
 }
 
+// lasting returns the beginning and the latest time of the uncertainty that the next process must know of. They are zero if
+// there is none.
+func (c *listCertainty) lasting(suspended, hasGrace bool) (since, latest time.Time) {
+	if c.uncertain() && (suspended || c.durable && hasGrace) {
+		since, latest = c.since, c.latest
+	}
+	if c.responseSince.IsZero() || !hasGrace {
+		return since, latest
+	}
+	if since.IsZero() {
+		return c.responseSince, c.responseSince
+	}
+	return since, c.responseSince
+}
+
 // uncertain reports whether the list may be outdated.
 func (c *listCertainty) uncertain() bool { return !c.since.IsZero() }
 
@@ -79,7 +99,7 @@
 	case now.Before(to):
 		return true, to
 	}
-	*c = listCertainty{}
+	*c = listCertainty{responseSince: c.responseSince}
 	return false, time.Time{}
 }
 
@@ -138,10 +158,13 @@
 // storeDepartures stores for the next process which endpoints have left, and the doubt about the others. A failed write
 // is repeated.
 func (l *Loop) storeDepartures() {
+	if l.successor != nil {
+		return // another process owns the state folder
+	}
 	var doubt endpointgroup.Doubt
-	if l.certainty.uncertain() && (l.group.Suspended() || l.certainty.durable && l.settings.DrainGrace > 0) {
+	if since, latest := l.certainty.lasting(l.group.Suspended(), l.settings.DrainGrace > 0); !since.IsZero() {
 		base := l.wal.TimeBase()
-		doubt = endpointgroup.Doubt{Since: base.Stamp(l.certainty.since), Latest: base.Stamp(l.certainty.latest)}
+		doubt = endpointgroup.Doubt{Since: base.Stamp(since), Latest: base.Stamp(latest)}
 	}
 	if l.departures.Update(l.group, doubt) || l.departuresRetryPending {
 		return
