Put what outlives a process of a doubt about the list in a file of its own

Change: state/listdoubt.go, Loop.runAfter, harness dueItems. Golden forms for the new message field and file. No change of behaviour.

--- a/internal/endpointgroup/departures_test.go
+++ b/internal/endpointgroup/departures_test.go
@@ -42,6 +42,9 @@
 		t.Errorf("an earlier version reads %s", text)
 	}
 	stored := file(doubtFile)
+	if want := `{"since_us":5,"latest_us":7,"known":1,"departures":"` + digest(file(departuresFile)) + `"}`; string(stored) != want {
+		t.Errorf("stored doubt: %s, want %s", stored, want)
+	}
 	os.Remove(filepath.Join(dir, doubtFile))
 	check("killed before the second write of a doubt", []string{"gone", "a", "b"}, Doubt{}, true)
 	d.Update(g, Doubt{})
--- a/internal/handover/golden_test.go
+++ b/internal/handover/golden_test.go
@@ -13,7 +13,7 @@
 )
 
 // TestGoldenMessages encodes and decodes each message of a hand-over, including its length prefix, in the format of
-// revision 096da04.
+// revision 096da04, and the doubt about the endpoint list, which came later.
 func TestGoldenMessages(t *testing.T) {
 	handedOver, result := golden.Fill[state.HandoverState](), golden.Fill[state.RemoteResult]()
 	for name, m := range map[string]message{
@@ -24,6 +24,7 @@
 		"yours":    {Confirmed: true},
 		"returned": {Result: &result, Last: true},
 		"last":     {Last: true},
+		"list":     {ListDoubt: golden.Fill[*state.ListDoubt]()},
 	} {
 		golden.Bytes(t, name+".txt", socketBytes(t, m), false)
 		encoded, err := os.ReadFile(golden.Path(name + ".txt"))
--- a/internal/harness/supervise.go
+++ b/internal/harness/supervise.go
@@ -1,8 +1,10 @@
 package harness
 
 import (
+	"slices"
 	"sync/atomic"
 	"syscall"
+	"time"
 
 	"cleathold/internal/audit"
 	"cleathold/internal/scenario"
@@ -64,22 +66,17 @@
 	}
 }
 
-// dueActions returns a channel that receives the plan's actions for the sender, each when it is due. The channel is
-// closed after the last one.
-func (s *supervisor) dueActions() <-chan scenario.PlannedAction {
-	env := s.run.env
-	due := make(chan scenario.PlannedAction)
+// dueItems returns a channel that receives each item when it is due. The channel is closed after the last one.
+func dueItems[T any](env *Environment, items []T, dueAt func(T) time.Duration) <-chan T {
+	due := make(chan T)
 	env.wg.Go(func() {
 		defer close(due)
-		for _, a := range s.run.Plan.Actions {
-			if a.Sender != s.number {
-				continue
-			}
-			if !env.sleepUntil(a.At) {
+		for _, item := range items {
+			if !env.sleepUntil(dueAt(item)) {
 				return
 			}
 			select {
-			case due <- a:
+			case due <- item:
 			case <-env.ctx.Done():
 				return
 			}
@@ -88,6 +85,23 @@
 	return due
 }
 
+// ofSender returns the items of one sender.
+func ofSender[T any](items []T, number int, senderOf func(T) int) []T {
+	return slices.DeleteFunc(slices.Clone(items), func(item T) bool { return senderOf(item) != number })
+}
+
+// dueActions returns a channel that receives the plan's actions for the sender.
+func (s *supervisor) dueActions() <-chan scenario.PlannedAction {
+	own := ofSender(s.run.Plan.Actions, s.number, func(a scenario.PlannedAction) int { return a.Sender })
+	return dueItems(s.run.env, own, func(a scenario.PlannedAction) time.Duration { return a.At })
+}
+
+// dueUpgrades returns a channel that receives the sender's upgrades.
+func (s *supervisor) dueUpgrades() <-chan Upgrade {
+	own := ofSender(s.run.env.faults.Upgrades, s.number, func(u Upgrade) int { return u.Sender })
+	return dueItems(s.run.env, own, func(u Upgrade) time.Duration { return u.At })
+}
+
 // restart starts the process again after restartDelay and waits until it is ready. If the process does not start or
 // does not become ready, restart ends the run. It returns false if the run has ended.
 func (s *supervisor) restart() bool {
--- a/internal/harness/upgrade.go
+++ b/internal/harness/upgrade.go
@@ -17,30 +17,6 @@
 	firstAdminPort    = 9001
 )
 
-// dueUpgrades returns a channel that receives the sender's upgrades, each when it is due. The channel is closed after the
-// last one.
-func (s *supervisor) dueUpgrades() <-chan Upgrade {
-	env := s.run.env
-	due := make(chan Upgrade)
-	env.wg.Go(func() {
-		defer close(due)
-		for _, u := range env.faults.Upgrades {
-			if u.Sender != s.number {
-				continue
-			}
-			if !env.sleepUntil(u.At) {
-				return
-			}
-			select {
-			case due <- u:
-			case <-env.ctx.Done():
-				return
-			}
-		}
-	})
-	return due
-}
-
 // upgrade starts a new process, which takes over, and ends the old one. It reports whether the new process serves.
 func (s *supervisor) upgrade() (serves bool) {
 	env := s.run.env
--- a/internal/state/handover.go
+++ b/internal/state/handover.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"slices"
 	"time"
 
 	"cleathold/control"
@@ -41,16 +40,6 @@
 	ListDoubt *ListDoubt `json:"-"`
 }
 
-// ListDoubt tells the known from the doubted in the endpoint list of a HandoverState. The list itself has the endpoints
-// that may have left as draining, and NoVersion while there is a doubt, for a successor that knows nothing of ListDoubt:
-// it polls the full list, which ends the doubt.
-type ListDoubt struct {
-	// LatestFor is the time since the latest answer of discovery that could not be read. 0 = the list is certain.
-	LatestFor time.Duration `json:"latest_ns,omitempty"`
-	// Departed holds the IDs of endpoints that have left although the latest complete list has them as ready.
-	Departed []string `json:"departed,omitempty"`
-}
-
 // RemoteAttempt is an attempt that another process has in flight.
 type RemoteAttempt struct {
 	Message control.MessageID `json:"Num"`
@@ -138,11 +127,7 @@
 	s := HandoverState{
 		At: l.now, Stamp: l.wal.TimeBase().Stamp(l.now), Version: l.listVersion(), Routes: map[string]control.RouteState{},
 	}
-	s.ListDoubt = &ListDoubt{Departed: l.group.Departed()}
-	if l.certainty.uncertain() {
-		s.UncertainFor = max(1, l.now.Sub(l.certainty.since))
-		s.ListDoubt.LatestFor = max(1, l.now.Sub(l.certainty.latest))
-	}
+	l.handOverListDoubt(&s)
 	for _, r := range l.controller.RouteStates(l.sinceStart()) {
 		if t := l.group.ByNumber(r.Endpoint); t != nil {
 			s.Routes[t.ID] = r
@@ -247,36 +232,8 @@
 			l.wakeForRemote(e)
 		}
 	}
-	list := ListUpdate{Kind: control.ListCached, Version: s.Version, Targets: slices.Clone(s.Targets)}
-	if s.ListDoubt == nil {
-		list.Version = NoVersion // an earlier version doesn't tell which endpoints it only doubts
-	} else {
-		markReady(list.Targets, s.ListDoubt.Departed)
-	}
-	l.backlog = append(l.backlog, list, inspect(func() { l.restoreListDoubt(s) }), inspect(func() { l.restoreRoutes(s) }))
-}
-
-// markReady sets the state of targets that a hand-over passes as draining to the one that the list has.
-func markReady(targets []Target, departed []string) {
-	for i := range targets {
-		if slices.Contains(departed, targets[i].ID) {
-			targets[i].State = control.Ready
-		}
-	}
-}
-
-// restoreListDoubt continues the predecessor's doubt about the endpoint list, once the endpoints are listed.
-func (l *Loop) restoreListDoubt(s *HandoverState) {
-	elapsed := max(0, l.now.Sub(l.handoverTime(s)))
-	latest := s.UncertainFor
-	if s.ListDoubt != nil {
-		latest = s.ListDoubt.LatestFor
-		l.markDeparted(s.ListDoubt.Departed)
-	}
-	if s.UncertainFor > 0 {
-		l.restoreUncertainty(l.now.Add(-elapsed-s.UncertainFor), l.now.Add(-elapsed-latest))
-	}
-	l.reviewList()
+	l.backlog = append(l.backlog, handedOverList(s), inspect(func() { l.restoreListDoubt(s) }),
+		inspect(func() { l.restoreRoutes(s) }))
 }
 
 // restoreRoutes passes the predecessor's state of the routes to the controller, once the endpoints are listed.
--- a/internal/state/iteration.go
+++ b/internal/state/iteration.go
@@ -166,5 +166,5 @@
 		return
 	}
 	l.walRetryPending = true
-	time.AfterFunc(walRetryInterval, func() { l.Post(inspect(func() { l.walRetryPending = false })) })
+	l.runAfter(walRetryInterval, func() { l.walRetryPending = false })
 }
--- a/internal/state/listcertainty.go
+++ b/internal/state/listcertainty.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"cleathold/internal/endpointgroup"
 	"cleathold/internal/permit"
 )
 
@@ -136,7 +135,7 @@
 	}
 	suspend, next := l.certainty.suspended(l.now, l.settings.DrainGrace, UncertaintyTimeout(l.settings.MaxPollInterval))
 	if !next.IsZero() {
-		time.AfterFunc(max(0, next.Sub(l.now)), func() { l.Post(inspect(l.reviewList)) })
+		l.runAfter(next.Sub(l.now), l.reviewList)
 	}
 	endpoints, changed := l.group.SetSuspended(suspend)
 	l.storeDepartures()
@@ -151,71 +150,3 @@
 	}
 	l.endpointsExcluded(endpoints)
 }
-
-// departuresRetryInterval is the delay between two attempts to store the departures.
-const departuresRetryInterval = 100 * time.Millisecond
-
-// storeDepartures stores for the next process which endpoints have left, and the doubt about the others. A failed write
-// is repeated.
-func (l *Loop) storeDepartures() {
-	if l.successor != nil {
-		return // another process owns the state folder
-	}
-	var doubt endpointgroup.Doubt
-	if since, latest := l.certainty.lasting(l.group.Suspended(), l.settings.DrainGrace > 0); !since.IsZero() {
-		base := l.wal.TimeBase()
-		doubt = endpointgroup.Doubt{Since: base.Stamp(since), Latest: base.Stamp(latest)}
-	}
-	if l.departures.Update(l.group, doubt) || l.departuresRetryPending {
-		return
-	}
-	l.departuresRetryPending = true
-	time.AfterFunc(departuresRetryInterval, func() {
-		l.Post(inspect(func() {
-			l.departuresRetryPending = false
-			l.reviewList()
-		}))
-	})
-}
-
-// restoreDepartures applies what an earlier process stored about the endpoint list that this process starts with.
-func (l *Loop) restoreDepartures() {
-	doubt := l.departures.Doubt()
-	switch {
-	case doubt != endpointgroup.Doubt{}:
-		base := l.wal.TimeBase()
-		l.restoreUncertainty(base.Time(doubt.Since), base.Time(doubt.Latest))
-	case l.departures.MayAllHaveLeft(l.group.Targets()):
-		l.departures.ForgetIDs()
-		timeout := UncertaintyTimeout(l.settings.MaxPollInterval)
-		l.restoreUncertainty(l.now.Add(-timeout), l.now)
-	}
-	l.markDeparted(l.departures.IDs())
-	l.reviewList()
-}
-
-// markDeparted withholds new sends from endpoints that have left, until discovery has answered.
-func (l *Loop) markDeparted(ids []string) {
-	if endpoints := l.group.MarkDeparted(ids, l.now); len(endpoints) > 0 {
-		l.log.Info("endpoints draining until discovery answers", "count", len(endpoints))
-		l.endpointsExcluded(endpoints)
-	}
-}
-
-// restoreUncertainty continues the uncertainty of an earlier process. It does not end before this process has been able
-// to poll discovery.
-func (l *Loop) restoreUncertainty(since, latest time.Time) {
-	since, latest = earliest(since, l.now), earliest(latest, l.now)
-	l.certainty.markUncertain(since)
-	l.certainty.markUncertain(latest)
-	l.certainty.endsAfter = l.now.Add(l.settings.PollSpread() + initialListTimeout)
-	l.log.Warn("endpoint list is uncertain since an earlier process", "elapsed", l.now.Sub(since).Round(time.Millisecond))
-}
-
-// earliest returns the earlier of two times.
-func earliest(a, b time.Time) time.Time {
-	if b.Before(a) {
-		return b
-	}
-	return a
-}
--- a/internal/state/loop.go
+++ b/internal/state/loop.go
@@ -200,6 +200,11 @@
 	return false
 }
 
+// runAfter has the loop's goroutine run a function after a delay, between two events.
+func (l *Loop) runAfter(delay time.Duration, function func()) {
+	time.AfterFunc(max(0, delay), func() { l.Post(inspect(function)) })
+}
+
 // Stop ends the acceptance of new messages.
 func (l *Loop) Stop() { l.Post(stopping{}) }
 
--- a/internal/state/overdue.go
+++ b/internal/state/overdue.go
@@ -67,5 +67,5 @@
 // whose timer wakes the loop otherwise, doesn't have it.
 func (l *Loop) wakeForRemote(e *entry) {
 	due := e.Deadline.Add(overdueDelay + overdueCheckInterval).Sub(l.clock())
-	time.AfterFunc(max(0, due), func() { l.Post(inspect(func() {})) })
+	l.runAfter(due, func() {})
 }
