--- a/internal/store/repair_test.go
+++ b/internal/store/repair_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"errors"
+	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"strings"
@@ -140,6 +142,111 @@
 	}
 }
 
+// busyFS is the folder of a store that is in use: the store makes appends before each segment that a backup opens.
+type busyFS struct {
+	*memoryFS
+	append func()
+}
+
+func (b busyFS) Open(name string) (File, error) {
+	b.append()
+	return b.memoryFS.Open(name)
+}
+
+// TestBackupDuringCompaction guards against a backup that lacks a segment which compaction removed before it was copied: the
+// copy then counted as damaged, and what the segment had ended was live again. It must hold what was live when it began,
+// unless that has ended since, and nothing that had ended then.
+func TestBackupDuringCompaction(t *testing.T) {
+	for _, appends := range []int{1, 10, 40, 100, 300} {
+		for seed := range uint64(20) {
+			m := newMemoryFS()
+			s := openStore(t, m, ProcessExit)
+			l := newWorkload(seed)
+			appendMore := func(n int) {
+				for range n {
+					if err := l.step(s); err != nil {
+						t.Fatal(err)
+					}
+				}
+			}
+			appendMore(600)
+			before, known := maps.Clone(l.live), l.next
+			opened := 0
+			to := newMemoryFS()
+			_, err := Backup(busyFS{m, func() {
+				if opened++; opened < 60 { // then the backup catches up
+					appendMore(appends)
+				}
+			}}, to)
+			if err != nil {
+				t.Fatal(err)
+			}
+			copied := openStore(t, to, ProcessExit)
+			if err := copied.Verify(); err != nil || len(copied.Damages()) > 0 {
+				t.Errorf("%d appends, seed %d: %v, %+v", appends, seed, err, copied.Damages())
+			}
+			for id := range known {
+				list, _ := copied.Load(id)
+				was, still := before[id] != nil, l.live[id] != nil
+				if was && still && len(list) == 0 || !was && len(list) > 0 {
+					t.Errorf("%d appends, seed %d: entity %d, live before %t, now %t, has %d records", appends, seed, id, was, still,
+						len(list))
+				}
+			}
+		}
+	}
+}
+
+// TestBackupOfIncompleteStore checks that a segment that is missing in the source, also while compaction removes others, is
+// missing in the copy, too.
+func TestBackupOfIncompleteStore(t *testing.T) {
+	m := newMemoryFS()
+	s := openStore(t, m, ProcessExit)
+	l := newWorkload(8)
+	for range 600 {
+		if err := l.step(s); err != nil {
+			t.Fatal(err)
+		}
+	}
+	names, _ := listSegments(m)
+	if len(names) < 4 {
+		t.Fatalf("segments: %v", names)
+	}
+	m.Remove(names[2])
+	to := newMemoryFS()
+	if _, err := Backup(m, to); err != nil {
+		t.Fatal(err)
+	}
+	if d := openStore(t, to, ProcessExit).Damages(); len(d) != 1 || !d[0].Missing || d[0].File != names[3] {
+		t.Errorf("%+v", d)
+	}
+}
+
+// TestBackupInterrupted ends a backup at each write of its target, as a power cut does. The source must stay as it is.
+func TestBackupInterrupted(t *testing.T) {
+	m := newMemoryFS()
+	s := openStore(t, m, ProcessExit)
+	l := newWorkload(8)
+	for range 300 {
+		if err := l.step(s); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for call := 1; ; call++ {
+		to := newMemoryFS()
+		to.crashAtCall = call
+		_, err := Backup(m, to)
+		readOnly, openErr := OpenReadOnly(m)
+		if openErr != nil || len(readOnly.Damages()) > 0 {
+			t.Fatalf("source after call %d: %v, %+v", call, openErr, readOnly.Damages())
+		}
+		l.checkContent(t, readOnly, fmt.Sprint("source after call ", call), 0)
+		if err == nil && call > 2 {
+			return
+		}
+	}
+}
+
 // A store in use can be opened read-only. A damaged store can be repaired into another folder without changing its
 // files.
 func TestOpenReadOnlyAndRepair(t *testing.T) {
--- a/internal/store/tools.go
+++ b/internal/store/tools.go
@@ -122,38 +122,6 @@
 	return failed
 }
 
-// Backup copies the segments of a folder into a folder without segments, in bounded memory, and returns the number of
-// bytes copied. The source may be in use. The oldest segments are copied first, so that records which compaction moves
-// during the backup are moved to segments that are copied later.
-func Backup(from, to FS) (int64, error) {
-	if names, err := listSegments(to); err != nil || len(names) > 0 {
-		return 0, errors.Join(err, errors.New("store: target folder must not contain segments"))
-	}
-	total := int64(0)
-	done := map[string]bool{}
-	for {
-		names, err := listSegments(from)
-		if err != nil {
-			return total, err
-		}
-		next := ""
-		for _, name := range names {
-			if !done[name] {
-				next = name
-				break
-			}
-		}
-		if next == "" {
-			return total, to.SyncDir()
-		}
-		done[next] = true
-		n, err := copySegment(from, to, next)
-		if total += n; err != nil && !errors.Is(err, fs.ErrNotExist) {
-			return total, fmt.Errorf("store: %s: %w", next, err)
-		}
-	}
-}
-
 // listSegments returns the names of the segment files in a folder, from oldest to newest.
 func listSegments(fsys FS) ([]string, error) {
 	names, err := fsys.List()
@@ -165,36 +133,6 @@
 	return names, nil
 }
 
-// copySegment copies the current content of a segment file and returns the number of bytes copied.
-func copySegment(from, to FS, name string) (int64, error) {
-	src, err := from.Open(name)
-	if err != nil {
-		return 0, err
-	}
-	defer src.Close()
-	size, err := from.Size(name)
-	if err != nil {
-		return 0, err
-	}
-	dst, err := to.Create(name)
-	if err != nil {
-		return 0, err
-	}
-	defer dst.Close()
-	b := make([]byte, 64<<10)
-	for at := int64(0); at < size; {
-		n, err := src.ReadAt(b[:min(int64(len(b)), size-at)], at)
-		if n == 0 && err != nil {
-			return at, err
-		}
-		if err := writeAll(dst, b[:n], at); err != nil {
-			return at, err
-		}
-		at += int64(n)
-	}
-	return size, dst.Sync()
-}
-
 // Repair copies the readable entities of a store to a new store in another folder, ordered by their first records. If
 // intactOnly is set, it skips entities that may lack a record. It returns the numbers of entities written and skipped.
 func Repair(from FS, to Options, intactOnly bool) (written, skipped int, err error) {
