Take departures that can't be read at a start for a doubt, and log a failing write once

What callers saw: nothing in service; found by looking for doubts that get lost. If the folder can't be read for a moment at a start (EIO, ENFILE), the process knew of no endpoint that had left, and sent at once with the list of its configuration.

Cause: OpenDepartures began with nothing then, as if there were no file.

Change: that counts as a doubt about each endpoint, with its usual ends. A write that fails again and again is logged once.

Result: TestDeparturesNotRead fails without the change (no doubt) and passes.

--- a/internal/endpointgroup/departures.go
+++ b/internal/endpointgroup/departures.go
@@ -49,6 +49,9 @@
 	doubt  Doubt
 	legacy bool // the file of departures does not tell what is only doubted
 
+	unreadable bool // a file exists and could not be read, and was not replaced since
+	failing    bool // the latest write failed, which was logged
+
 	storedIDs   []byte // content of the file of departures; nil: none or not known
 	storedDoubt []byte // content of the file of the doubt; nil: none
 }
@@ -95,6 +98,7 @@
 		return data
 	}
 	if !errors.Is(err, fs.ErrNotExist) {
+		d.unreadable = true
 		d.log.Warn("failed to read departures; starting without any", "file", name, "err", err)
 	}
 	return nil
@@ -112,9 +116,12 @@
 // Doubt returns the stored doubt.
 func (d *Departures) Doubt() Doubt { return d.doubt }
 
-// MayAllHaveLeft reports whether the stored IDs include all ready targets of a list, and don't tell whether these have
-// left. An earlier version stored all targets when it was in doubt.
+// MayAllHaveLeft reports whether the files can't be read, or the stored IDs include all ready targets of a list and don't
+// tell whether these have left. An earlier version stored all targets when it was in doubt.
 func (d *Departures) MayAllHaveLeft(list []Target) bool {
+	if d.unreadable {
+		return true
+	}
 	ready := 0
 	for _, t := range list {
 		if t.State != control.Ready {
@@ -141,11 +148,13 @@
 	if d.dir == "" {
 		return true
 	}
-	if err := d.save(g); err != nil {
+	err := d.save(g)
+	if err != nil && !d.failing {
 		d.log.Warn("failed to write departures", "err", err)
-		return false
 	}
-	return true
+	d.failing = err != nil
+	d.unreadable = d.unreadable && d.failing
+	return !d.failing
 }
 
 // others returns the sorted IDs of the selected targets of a group that are not in a list.
@@ -162,7 +171,7 @@
 
 // save writes the files whose content has changed, first that of the departures.
 func (d *Departures) save(g *Group) error {
-	if d.storedIDs == nil && len(d.ids) == 0 && d.doubt == (Doubt{}) {
+	if d.storedIDs == nil && len(d.ids) == 0 && d.doubt == (Doubt{}) && !d.unreadable {
 		return d.removeDoubt()
 	}
 	ids := d.encodeIDs(g)
@@ -218,7 +227,7 @@
 
 // removeDoubt removes the file of the doubt.
 func (d *Departures) removeDoubt() error {
-	if d.storedDoubt == nil {
+	if d.storedDoubt == nil && !d.unreadable {
 		return nil
 	}
 	err := os.Remove(filepath.Join(d.dir, doubtFile))
--- a/internal/endpointgroup/departures_test.go
+++ b/internal/endpointgroup/departures_test.go
@@ -56,6 +56,29 @@
 	}
 }
 
+// TestDeparturesNotRead guards against departures that are forgotten because a file can't be read, or is damaged: then any
+// target may have left, until the files are written again.
+func TestDeparturesNotRead(t *testing.T) {
+	dir := t.TempDir()
+	list := []Target{{ID: "a", Endpoint: control.Endpoint{State: control.Ready}}}
+	g := New(0)
+	g.Update(control.ListCached, 3, list, time.Now())
+	open := func() *Departures { return OpenDepartures(dir, slog.New(slog.DiscardHandler)) }
+	if open().MayAllHaveLeft(list) {
+		t.Error("a new folder holds a doubt")
+	}
+	for _, name := range []string{departuresFile, doubtFile} {
+		os.WriteFile(filepath.Join(dir, name), []byte(`["a`), 0o600)
+		d := open()
+		if !d.MayAllHaveLeft(list) {
+			t.Errorf("%s can't be read, and leaves no doubt", name)
+		}
+		if d.Update(g, Doubt{}); open().MayAllHaveLeft(list) {
+			t.Errorf("%s was not replaced", name)
+		}
+	}
+}
+
 // TestDeparturesNotWritten guards against a doubt that is lost because a write failed: Update reports it, and the next
 // Update writes what is missing.
 func TestDeparturesNotWritten(t *testing.T) {
