Restore the doubt of an earlier process before the list is reviewed, also for pushed lists

Where lists are pushed, a process that was restarted or upgraded in doubt while the agent was silent sent to endpoints that may have left, after a second.

Cause: such a process waits for its first list, and reviewed the certainty when the wait began, before the stored doubt was restored. A review stores what it finds: no doubt.

Change: the wait only sets its time; the restored doubt is reviewed in the first iteration, before anything is sent.

--- a/cmd/cleathold/listdoubt_test.go
+++ b/cmd/cleathold/listdoubt_test.go
@@ -37,11 +37,11 @@
 			env.process = env.start()
 		}},
 	} {
-		for _, left := range []bool{false, true} {
-			name := test.name + map[bool]string{false: ", endpoint stays", true: ", endpoint has left"}[left]
-			t.Run(name, func(t *testing.T) {
+		for i, variant := range []string{"endpoint stays", "endpoint has left", "stays, lists pushed", "has left, lists pushed"} {
+			t.Run(test.name+", "+variant, func(t *testing.T) {
 				t.Parallel()
-				env := newDrainEnvironment(t, nil, time.Second, 1)
+				left, discovery := i%2 == 1, map[bool]string{false: "ask", true: "push"}[i >= 2]
+				env := startDrainEnvironment(t, nil, map[string]any{"siblings": 1, "discovery": discovery}, time.Second)
 				env.kill(env.process)
 				env.process = env.startForUpgrade()
 				env.stalls = test.name == "SIGKILL within the answer"
--- a/internal/state/listcertainty.go
+++ b/internal/state/listcertainty.go
@@ -103,11 +103,9 @@
 }
 
 // awaitList suspends sends until the first answer of discovery. Where lists are pushed, a new process counts as notified
-// of what the agent has from its first moment on, and the list that it starts with may be older.
-func (l *Loop) awaitList() {
-	l.certainty.awaitUntil = l.now.Add(initialListTimeout)
-	l.reviewList()
-}
+// of what the agent has from its first moment on, and the list that it starts with may be older. The certainty is reviewed,
+// and stored, only once the doubt of an earlier process is restored.
+func (l *Loop) awaitList() { l.certainty.awaitUntil = l.now.Add(initialListTimeout) }
 
 // listKnown records a complete answer, which includes all earlier updates. If polls pause after it, updates during the
 // pause are not known, so the list becomes uncertain again.
